--- /dev/null
+++ b/ibisshunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the command line of each program."""
--- /dev/null
+++ b/ibisshunt/components/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Serve metrics, the state dump and readiness over HTTP."""
--- /dev/null
+++ b/ibisshunt/components/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Own the flows of one target."""
--- /dev/null
+++ b/ibisshunt/components/control/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the records and tell every node of them."""
--- /dev/null
+++ b/ibisshunt/components/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the fabric, callers and endpoints."""
--- /dev/null
+++ b/ibisshunt/coordination/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how hosts agree on one log."""
--- /dev/null
+++ b/ibisshunt/coordination/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which target owns a flow."""
--- /dev/null
+++ b/ibisshunt/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which targets take part."""
--- /dev/null
+++ b/ibisshunt/coordination/records/__init__.py
@@ -0,0 +1,1 @@
+"""Decide whether a change of a record is accepted."""
--- /dev/null
+++ b/ibisshunt/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where, when and how often a request runs."""
--- /dev/null
+++ b/ibisshunt/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small parts that several components share."""
--- /dev/null
+++ b/ibisshunt/model/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the frozen data classes that every part shares."""
--- /dev/null
+++ b/ibisshunt/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Encode what the system's own processes say to each other."""
--- /dev/null
+++ b/ibisshunt/protocol/rpc.py
@@ -0,0 +1,160 @@
+"""Call methods of other processes over gRPC, with typed messages."""
+
+from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+import grpc
+import msgspec
+
+from ..const import RPC_TIMEOUT_SECONDS
+from ..exceptions import Fault, RpcError
+from ..model.address import Address
+from .codec import encode
+
+SERVICE_NAME = "ibisshunt.v1"
+CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_send_message_length", 64 * 1024 * 1024),
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 2000),
+    # Two programs must not share one port: half of the calls would go astray.
+    ("grpc.so_reuseport", 0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Method:
+    """Name a method and the types of its request and reply."""
+
+    name: str
+    request: Any
+    reply: Any
+    streaming: bool = False
+
+    @property
+    def path(self) -> str:
+        """Return the path that gRPC uses."""
+        return f"/{SERVICE_NAME}/{self.name}"
+
+
+class Channel:
+    """Hold one connection to another process."""
+
+    def __init__(
+        self, address: Address, credentials: grpc.ChannelCredentials | None = None
+    ) -> None:
+        self.address = address
+        target = str(address)
+        if credentials is None:
+            self._channel = grpc.insecure_channel(target, CHANNEL_OPTIONS)
+        else:
+            self._channel = grpc.secure_channel(target, credentials, CHANNEL_OPTIONS)
+
+    def call(
+        self,
+        method: Method,
+        request: Any,
+        timeout: float = RPC_TIMEOUT_SECONDS,
+        metadata: tuple[tuple[str, str], ...] = (),
+    ) -> Any:
+        """Send a request and return the reply; raise RpcError after ``timeout`` s."""
+        invoke = self._channel.unary_unary(
+            method.path,
+            request_serializer=encode,
+            response_deserializer=_make_decoder(method.reply),
+        )
+        try:
+            return invoke(request, timeout=timeout, metadata=metadata)
+        except grpc.RpcError as error:
+            raise self._explain(method, error) from error
+
+    def stream(
+        self,
+        method: Method,
+        request: Any,
+        metadata: tuple[tuple[str, str], ...] = (),
+    ) -> Iterator[Any]:
+        """Yield replies until the stream ends; raise RpcError when it breaks."""
+        invoke = self._channel.unary_stream(
+            method.path,
+            request_serializer=encode,
+            response_deserializer=_make_decoder(method.reply),
+        )
+        replies = invoke(request, metadata=metadata)
+        try:
+            yield from replies
+        except grpc.RpcError as error:
+            raise self._explain(method, error) from error
+        finally:
+            replies.cancel()
+
+    def close(self) -> None:
+        """Close the connection; calls in progress fail."""
+        self._channel.close()
+
+    def _explain(self, method: Method, error: grpc.RpcError) -> RpcError:
+        code = error.code().name if hasattr(error, "code") else "UNKNOWN"
+        details = error.details() if hasattr(error, "details") else str(error)
+        reason = f"{code}: {details}"
+        return RpcError(Fault(f"call {method.name}", str(self.address), reason))
+
+
+class Server:
+    """Serve methods at one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        handlers: Mapping[Method, Callable[..., Any]],
+        workers: int = 512,
+        credentials: grpc.ServerCredentials | None = None,
+    ) -> None:
+        pool = ThreadPoolExecutor(max_workers=workers)
+        self._server = grpc.server(pool, options=CHANNEL_OPTIONS)
+        methods = {method.name: _bind(method, run) for method, run in handlers.items()}
+        handler = grpc.method_handlers_generic_handler(SERVICE_NAME, methods)
+        self._server.add_generic_rpc_handlers((handler,))
+        self.address = self._bind_port(address, credentials)
+
+    def _bind_port(
+        self, address: Address, credentials: grpc.ServerCredentials | None
+    ) -> Address:
+        try:
+            if credentials is None:
+                port = self._server.add_insecure_port(str(address))
+            else:
+                port = self._server.add_secure_port(str(address), credentials)
+        except RuntimeError as error:
+            fault = Fault("bind rpc server", str(address), str(error))
+            raise RpcError(fault) from error
+        return Address(address.ip, port)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def stop(self, grace: float = 1.0) -> None:
+        """Refuse new calls and wait up to ``grace`` seconds for those in progress."""
+        self._server.stop(grace).wait()
+
+
+def _make_decoder(kind: Any) -> Callable[[bytes], Any]:
+    return msgspec.msgpack.Decoder(kind).decode
+
+
+def _bind(method: Method, run: Callable[..., Any]) -> grpc.RpcMethodHandler:
+    make = (
+        grpc.unary_stream_rpc_method_handler
+        if method.streaming
+        else grpc.unary_unary_rpc_method_handler
+    )
+    return make(
+        run,
+        request_deserializer=_make_decoder(method.request),
+        response_serializer=encode,
+    )
