Add streams, stand-ins, admin pages and the command line

Cause: the whole path needs an intake, targets and something to drive them. Change: relay with a preamble and a verdict before any byte of the caller's; stand-in fabric, callers and endpoints; metrics, dump and readiness pages; click commands; demo driver and samples. Conclusion: balancers may try the next agent after a refusal, safely.

--- a/ibisshunt/cli/__init__.py
+++ b/ibisshunt/cli/__init__.py
@@ -1,1 +1,13 @@
-"""Hold the command line of each program."""
+"""Hold the command line of each program.
+
+Importing this package makes the standard library and gRPC cooperate with gevent,
+which has to happen before any of them opens a socket.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import grpc.experimental.gevent as grpc_gevent
+
+grpc_gevent.init_gevent()
--- /dev/null
+++ b/ibisshunt/cli/demo.py
@@ -0,0 +1,162 @@
+"""Run the whole path once on this machine and tell what happened."""
+
+import json
+import random
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+import click
+import gevent
+
+from ..components.standin import Endpoint, Fabric
+from ..components.standin.traffic import (
+    ServiceAddress,
+    TrafficSummary,
+    drive_flows,
+    fetch_page,
+)
+from ..const import EXIT_FAILURE
+from ..core import Kernel
+from ..exceptions import IbisshuntError
+from ..model.address import Address
+from ..programs import set_up_standalone
+from ..protocol.messages import APPLY, STATUS, ApplyRequest, StatusRequest
+from ..protocol.rpc import Channel
+from ..settings import STANDALONE, StandaloneSettings
+from .operator import read_documents
+from .process import read_or_exit, set_up_logging
+
+READY_SECONDS = 20.0
+
+
+def start_endpoints(settings: StandaloneSettings) -> list[Endpoint]:
+    """Start a stand-in endpoint for the target of each agent."""
+    return [
+        Endpoint(
+            agent.target.service,
+            agent.target.name,
+            agent.target.tunnel,
+            agent.target.streams,
+            agent.replies,
+        )
+        for agent in settings.agents
+    ]
+
+
+def wait_until_in_force(channel: Channel, targets: int) -> None:
+    """Wait until every target is announced and every node has the revision."""
+    with gevent.Timeout(READY_SECONDS, TimeoutError("not in force in time")):
+        while True:
+            status = channel.call(STATUS, StatusRequest())
+            lagging = [n for n in status.nodes if n.revision < status.revision]
+            if len(status.targets) == targets and status.nodes and not lagging:
+                return
+            gevent.sleep(0.1)
+
+
+def show_progress(step: str) -> None:
+    """Print one line of progress."""
+    click.echo(f"demo: {step}")
+
+
+def list_services(documents: tuple[str, ...]) -> list[ServiceAddress]:
+    """Return the services among the records."""
+    found = [json.loads(document) for document in documents]
+    return [
+        ServiceAddress(record["name"], Address(record["address"], record["port"]))
+        for record in found
+        if record["kind"] == "service"
+    ]
+
+
+def run_demo(
+    settings: StandaloneSettings, documents: tuple[str, ...], flows: int
+) -> list[TrafficSummary]:
+    """Apply the records, send traffic over both intakes and return what happened."""
+    channel = Channel(settings.control[0].rpc)
+    reply = channel.call(APPLY, ApplyRequest("demo", documents))
+    for outcome in reply.outcomes:
+        show_progress(f"record {outcome.name}: {outcome.error or 'accepted'}")
+    wait_until_in_force(channel, len(settings.agents))
+    show_progress("configuration in force on every node")
+    balancers = [balancer.packets for balancer in settings.balancers]
+    fabric = Fabric(settings.agents[0].replies, balancers, random.Random(1).choice)
+    summaries = []
+    for service in list_services(documents):
+        page = fetch_page(service.address, "/demo").strip()
+        show_progress(f"stream to {service.name} at {service.address}: {page}")
+        show_progress(
+            f"{flows} flows to {service.name} over {len(balancers)} balancers"
+        )
+        summaries.append(drive_flows(fabric, service, flows, rounds=3))
+    fabric.close()
+    channel.close()
+    return summaries
+
+
+def print_summary(summaries: list[TrafficSummary]) -> bool:
+    """Print what happened; return whether nothing was broken or went astray."""
+    click.echo("\nservice     flows answers broken wrong  targets")
+    for found in summaries:
+        click.echo(
+            f"{found.service:<11} {found.flows:>5} {found.answers:>7} "
+            f"{found.broken:>6} {found.wrong:>5}  {found.by_target}"
+        )
+    return not any(found.broken or found.wrong for found in summaries)
+
+
+@click.command()
+@click.option("--settings", "path", default="samples/standalone.json", type=Path)
+@click.option("--records", default="samples/records.json", type=Path)
+@click.option("--flows", default=60, type=click.IntRange(1, 1000))
+@click.option("--keep", is_flag=True, help="Leave the system running.")
+@click.option("--verbose", is_flag=True, help="Show the log.")
+def main(path: Path, records: Path, flows: int, keep: bool, verbose: bool) -> None:
+    """Run the whole path on this machine."""
+    settings = read_or_exit(path, STANDALONE)
+    documents = read_documents(records)
+    if verbose:
+        set_up_logging(verbose)
+    kernel = Kernel()
+    folder = tempfile.mkdtemp(prefix="ibisshunt-demo-")
+    control = replace(settings.control[0], data_folder=folder)
+    settings = replace(settings, control=(control,))
+    try:
+        endpoints = start_endpoints(settings)
+        set_up_standalone(kernel, settings)
+        show_progress(f"started {len(settings.agents)} agents beside stand-in targets")
+        good = print_summary(run_demo(settings, documents, flows))
+    except (IbisshuntError, OSError, TimeoutError) as error:
+        click.echo(f"demo: failed: {error}", err=True)
+        sys.exit(EXIT_FAILURE)
+    if keep:
+        keep_running(kernel, settings, documents)
+    kernel.stop()
+    for endpoint in endpoints:
+        endpoint.close()
+    click.echo("demo: done, nothing broken" if good else "demo: FAILED")
+    sys.exit(0 if good else EXIT_FAILURE)
+
+
+def keep_running(
+    kernel: Kernel, settings: StandaloneSettings, documents: tuple[str, ...]
+) -> None:
+    """Print the commands to try and wait for an interrupt."""
+    click.echo("\nrunning; try in another terminal, and stop with ctrl-c:")
+    for service in list_services(documents):
+        click.echo(f"  curl http://{service.address}/hello")
+    click.echo("  script/ibisshunt status")
+    click.echo("  script/ibisshunt list")
+    click.echo("  script/ibisshunt drain marea booking booking-1")
+    click.echo(f"  script/ibisshunt dump {settings.balancers[0].admin}")
+    click.echo(f"  curl http://{settings.agents[0].admin}/metrics")
+    try:
+        kernel.wait_for_stop()
+    except KeyboardInterrupt:
+        click.echo("stopping")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ibisshunt/cli/operator.py
@@ -0,0 +1,207 @@
+"""Run ``ibisshunt``, the operator's command."""
+
+import json
+import sys
+import uuid
+from pathlib import Path
+from typing import Any
+
+import click
+import json5
+import urllib3
+
+from .. import __version__
+from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
+from ..programs import set_up_standalone
+from ..protocol.codec import to_plain
+from ..protocol.messages import (
+    APPLY,
+    LIST,
+    STATUS,
+    ApplyReply,
+    ApplyRequest,
+    ListReply,
+    ListRequest,
+    StatusReply,
+    StatusRequest,
+)
+from ..settings import AGENT, BALANCER, CONTROL, STANDALONE, TlsSettings
+from .client import call_control, read_addresses
+from .process import make_command, read_or_exit
+
+KINDS = {
+    "balancer": BALANCER,
+    "agent": AGENT,
+    "control": CONTROL,
+    "standalone": STANDALONE,
+}
+
+
+@click.group()
+@click.version_option(__version__)
+@click.option(
+    "--control",
+    "hosts",
+    multiple=True,
+    envvar="IBISSHUNT_CONTROL",
+    default=("127.0.0.1:7301",),
+    show_default=True,
+    help="Address of a control host; may be given several times.",
+)
+@click.option("--token", envvar="IBISSHUNT_TOKEN", default="", help="Operator token.")
+@click.option(
+    "--tls",
+    nargs=3,
+    type=click.Path(),
+    default=None,
+    help="Certificate, key and authority: three PEM files.",
+)
+@click.pass_context
+def main(context: click.Context, hosts: tuple[str, ...], token: str, tls: Any) -> None:
+    """Operate an ibisshunt system."""
+    context.obj = {
+        "addresses": read_addresses(hosts),
+        "token": token,
+        "tls": TlsSettings(*tls) if tls else None,
+    }
+
+
+def _call(context: click.Context, method: Any, request: Any) -> Any:
+    return call_control(context.obj["addresses"], method, request, context.obj["tls"])
+
+
+def read_documents(path: Path) -> tuple[str, ...]:
+    """Return one JSON text a record; exit with 2 when the file cannot be read."""
+    try:
+        found = json5.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        click.echo(f"read records with {path}: {error}", err=True)
+        sys.exit(EXIT_BAD_INPUT)
+    documents = found if isinstance(found, list) else [found]
+    return tuple(json.dumps(document) for document in documents)
+
+
+def _apply(context: click.Context, documents: tuple[str, ...]) -> None:
+    request = ApplyRequest(uuid.uuid4().hex, documents, context.obj["token"])
+    reply: ApplyReply = _call(context, APPLY, request)
+    failed = False
+    for outcome in reply.outcomes:
+        state = f"refused: {outcome.error}" if outcome.error else "accepted"
+        failed = failed or bool(outcome.error)
+        click.echo(f"{outcome.name} revision={outcome.revision} {state}")
+    if failed:
+        sys.exit(EXIT_FAILURE)
+
+
+@main.command()
+@click.argument("path", type=click.Path(path_type=Path))
+@click.pass_context
+def apply(context: click.Context, path: Path) -> None:
+    """Apply the records in a JSON file."""
+    _apply(context, read_documents(path))
+
+
+@main.command()
+@click.argument("business")
+@click.argument("service")
+@click.argument("target")
+@click.pass_context
+def drain(context: click.Context, business: str, service: str, target: str) -> None:
+    """Give a target no new work; what runs there goes on."""
+    document = {
+        "kind": "drain",
+        "schema": 1,
+        "business": business,
+        "name": f"{service}.{target}",
+        "service": service,
+        "target": target,
+    }
+    _apply(context, (json.dumps(document),))
+
+
+@main.command(name="list")
+@click.argument("business", default="")
+@click.pass_context
+def list_records(context: click.Context, business: str) -> None:
+    """List the records of a business, or of all."""
+    reply: ListReply = _call(context, LIST, ListRequest(business))
+    for record in reply.records:
+        click.echo(
+            f"{record.kind} {record.business}/{record.name} "
+            f"schema={record.schema_version} revision={record.revision}"
+        )
+
+
+@main.command()
+@click.argument("kind")
+@click.argument("business")
+@click.argument("name")
+@click.pass_context
+def get(context: click.Context, kind: str, business: str, name: str) -> None:
+    """Print one record as JSON."""
+    reply: ListReply = _call(context, LIST, ListRequest(business))
+    for record in reply.records:
+        if (record.kind, record.name) == (kind, name):
+            click.echo(json.dumps(to_plain(record), indent=1))
+            return
+    click.echo(f"no {kind} {business}/{name}", err=True)
+    sys.exit(EXIT_FAILURE)
+
+
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.pass_context
+def status(context: click.Context, as_json: bool) -> None:
+    """Show services, targets, flows and the revision in force on each node."""
+    reply: StatusReply = _call(context, STATUS, StatusRequest())
+    if as_json:
+        click.echo(json.dumps(to_plain(reply), indent=1))
+        return
+    click.echo(f"revision {reply.revision} leader {reply.leader}")
+    for service in reply.services:
+        click.echo(f"service {service}")
+    for target in reply.targets:
+        click.echo(
+            f"target {target.service}/{target.target} {target.state} "
+            f"incarnation={target.incarnation} flows={target.flows}"
+        )
+    for node in reply.nodes:
+        lag = "" if node.revision >= reply.revision else " LAGS"
+        click.echo(
+            f"node {node.role} {node.node} revision={node.revision} "
+            f"reported {node.age_seconds:.1f} s ago{lag}"
+        )
+
+
+@main.command()
+@click.argument("admin")
+def dump(admin: str) -> None:
+    """Print the state of the process whose admin address is given, as JSON."""
+    try:
+        reply = urllib3.request("GET", f"http://{admin}/dump", timeout=5, retries=False)
+    except urllib3.exceptions.HTTPError as error:
+        click.echo(f"dump with {admin}: {error}", err=True)
+        sys.exit(EXIT_FAILURE)
+    click.echo(reply.data.decode())
+
+
+@main.command()
+@click.argument("kind", type=click.Choice(sorted(KINDS)))
+@click.argument("path", type=click.Path(path_type=Path))
+def check(kind: str, path: Path) -> None:
+    """Check a settings file; exit with 2 and name the key when it is wrong."""
+    read_or_exit(path, KINDS[kind])
+    click.echo(f"{path}: ok")
+
+
+main.add_command(
+    make_command(
+        "standalone",
+        "Run control, balancers and agents in one process.",
+        STANDALONE,
+        set_up_standalone,
+    )
+)
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/ibisshunt/components/node/announcer.py
@@ -0,0 +1,140 @@
+"""Announce a target to control and keep its lease."""
+
+import random
+import time
+from itertools import cycle
+from typing import Any
+
+import gevent
+import grpc
+
+from ...const import HEARTBEAT_SECONDS
+from ...core import Kernel
+from ...exceptions import RpcError
+from ...helpers.backoff import make_delays
+from ...helpers.logging import log_event, warn_event
+from ...model.address import Address
+from ...model.target import Announcement
+from ...protocol.messages import ANNOUNCE, AnnounceReply, AnnounceRequest
+from ...protocol.rpc import Channel
+from ...settings import AgentSettings
+
+
+class Announcer:
+    """Own the announcement of one target."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        announcement: Announcement,
+        control: tuple[Address, ...],
+        credentials: grpc.ChannelCredentials | None,
+    ) -> None:
+        self.announcement = announcement
+        self.incarnation = 0
+        self.leaving = False
+        self.lease_deadline = 0.0
+        self._kernel = kernel
+        self._hosts = cycle(control)
+        self._credentials = credentials
+        self._channel = Channel(next(self._hosts), credentials)
+
+    def run(self) -> None:
+        """Renew the lease for as long as the process runs."""
+        delays = make_delays(random.random)
+        while True:
+            if self.announce():
+                delays = make_delays(random.random)
+                gevent.sleep(HEARTBEAT_SECONDS)
+                continue
+            self._change_host()
+            gevent.sleep(next(delays))
+
+    def announce(self) -> bool:
+        """Send the announcement once; return whether control took it."""
+        flows = self._kernel.find("flows").count() if self._kernel.has("flows") else 0
+        request = AnnounceRequest(self.announcement, self.leaving, flows)
+        sent_at = time.monotonic()
+        try:
+            reply: AnnounceReply = self._channel.call(ANNOUNCE, request)
+        except RpcError as error:
+            warn_event("announce_failed", fault=error.fault)
+            return False
+        if reply.error:
+            peer = self._channel.address
+            warn_event("announce_refused", peer=peer, reason=reply.error)
+            return False
+        self._note(reply, sent_at)
+        return True
+
+    def leave(self) -> None:
+        """Tell control that the target gets no new work from now on."""
+        self.leaving = True
+        self.announce()
+
+    def _note(self, reply: AnnounceReply, sent_at: float) -> None:
+        if reply.incarnation != self.incarnation:
+            name = self.announcement.name
+            log_event("announced", target=name, incarnation=reply.incarnation)
+        self.incarnation = reply.incarnation
+        # Counted from the sending: the lease must not outlast what control granted.
+        self.lease_deadline = sent_at + reply.lease_seconds
+
+    def _change_host(self) -> None:
+        self._channel.close()
+        self._channel = Channel(next(self._hosts), self._credentials)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            "announcement": self.announcement,
+            "incarnation": self.incarnation,
+            "leaving": self.leaving,
+            "lease_left_seconds": round(self.lease_deadline - time.monotonic(), 3),
+        }
+
+
+def make_announcement(settings: AgentSettings) -> Announcement:
+    """Return the announcement of the agent's target.
+
+    The session names the target, not the agent's process: an agent that restarts
+    beside a living target must keep the incarnation under which its flows run.
+    """
+    target = settings.target
+    session = target.session or f"{target.host}/{target.tunnel}"
+    return Announcement(
+        business=target.business,
+        service=target.service,
+        name=target.name,
+        session=session,
+        host=target.host,
+        failure_domain=settings.failure_domain,
+        packets=settings.packets,
+        streams=settings.streams,
+        tunnel=target.tunnel,
+        weight=target.weight,
+    )
+
+
+def setup(
+    kernel: Kernel,
+    settings: AgentSettings,
+    credentials: grpc.ChannelCredentials | None = None,
+) -> Announcer:
+    """Start to announce; register the announcer as ``announcement``."""
+    announcement = make_announcement(settings)
+    announcer = Announcer(kernel, announcement, settings.control, credentials)
+    task = kernel.spawn("announcer", announcer.run)
+
+    def unload() -> None:
+        task.kill()
+        announcer.leave()
+
+    kernel.register(
+        "announcement",
+        announcer,
+        unload=unload,
+        dump=announcer.dump,
+        ready=lambda: announcer.incarnation > 0,
+    )
+    return announcer
--- /dev/null
+++ b/ibisshunt/components/standin/endpoint.py
@@ -0,0 +1,107 @@
+"""Stand in for a target: a tunnel end with a minimal TCP and an HTTP server."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+from gevent.pywsgi import WSGIServer
+
+from ...const import MAX_DATAGRAM_BYTES
+from ...model.address import Address
+from .segments import ACK, FIN, PUSH, RST, SYN, Segment, build_packet, read_segment
+
+FIRST_SEQUENCE: Final = 1_000
+
+
+class Endpoint:
+    """Own the sockets of one stand-in target.
+
+    ``replies`` is where packets towards callers go. Connections are kept by the pair
+    of caller and service address; a segment of an unknown connection gets a reset,
+    as a kernel would answer.
+    """
+
+    def __init__(
+        self, service: str, name: str, tunnel: Address, web: Address, replies: Address
+    ) -> None:
+        self.service = service
+        self.name = name
+        self.counts: Counter[str] = Counter()
+        self.connections: dict[tuple[Address, Address], int] = {}
+        self._replies = replies
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(tunnel.as_pair())
+        self.tunnel = Address(*self._socket.getsockname())
+        self._web = WSGIServer(web.as_pair(), self._answer_http, log=None)
+        self._web.start()
+        self.web = Address(web.ip, self._web.server_port)
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Release the sockets."""
+        self._task.kill()
+        self._socket.close()
+        self._web.stop(timeout=1)
+
+    def _run(self) -> None:
+        while True:
+            data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            segment = read_segment(data)
+            if segment is None:
+                self.counts["malformed"] += 1
+                continue
+            for reply in self._take(segment):
+                self._socket.sendto(build_packet(reply), self._replies.as_pair())
+
+    def _take(self, segment: Segment) -> Iterable[Segment]:
+        pair = (segment.source, segment.destination)
+        if segment.has(SYN):
+            self.counts["opened"] += 1
+            self.connections[pair] = FIRST_SEQUENCE + 1
+            yield self._reply(segment, SYN | ACK, FIRST_SEQUENCE, 1)
+            return
+        if segment.has(RST):
+            self.connections.pop(pair, None)
+            return
+        if pair not in self.connections:
+            self.counts["reset"] += 1
+            yield self._reply(segment, RST, segment.acknowledgment, 0)
+            return
+        if segment.payload:
+            yield self._answer(segment, pair)
+        if segment.has(FIN):
+            sequence = self.connections.pop(pair)
+            self.counts["closed"] += 1
+            yield self._reply(segment, FIN | ACK, sequence, len(segment.payload) + 1)
+
+    def _answer(self, segment: Segment, pair: tuple[Address, Address]) -> Segment:
+        self.counts["answered"] += 1
+        payload = f"{self.service} {self.name} ".encode() + segment.payload
+        sequence = self.connections[pair]
+        self.connections[pair] = sequence + len(payload)
+        taken = len(segment.payload)
+        return self._reply(segment, ACK | PUSH, sequence, taken, payload)
+
+    @staticmethod
+    def _reply(
+        segment: Segment, flags: int, sequence: int, taken: int, payload: bytes = b""
+    ) -> Segment:
+        return Segment(
+            segment.destination,
+            segment.source,
+            sequence,
+            segment.sequence + taken,
+            flags,
+            payload,
+        )
+
+    def _answer_http(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        self.counts["requests"] += 1
+        body = f"{self.service} {self.name} answers {environ['PATH_INFO']}\n".encode()
+        length = ("Content-Length", str(len(body)))
+        start("200 OK", [("Content-Type", "text/plain"), length])
+        return [body]
--- a/ibisshunt/settings.py
+++ b/ibisshunt/settings.py
@@ -55,6 +55,7 @@
     """Describe the target that an agent stands beside.
 
     ``tunnel`` takes GUE datagrams, ``streams`` the TCP connections of the target.
+    ``session`` changes when the target's process is replaced under the same name.
     """
 
     business: str
@@ -64,6 +65,7 @@
     tunnel: Address
     streams: Address
     weight: int = 100
+    session: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +157,7 @@
         vol.Required("host"): NAME,
         vol.Required("tunnel"): check_address,
         vol.Required("streams"): check_address,
+        vol.Optional("session"): str,
         vol.Optional("weight"): vol.All(int, vol.Range(min=1, max=10_000)),
     },
 )
--- /dev/null
+++ b/tests/components/test_streams.py
@@ -0,0 +1,179 @@
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from ibisshunt.components.agent import streams as agent_streams
+from ibisshunt.components.balancer import streams as balancer_streams
+from ibisshunt.core import Kernel
+from ibisshunt.helpers.metrics import Metrics
+from ibisshunt.model.address import Address
+from ibisshunt.settings import AgentSettings, BalancerSettings, TargetSettings
+
+from ..builders import make_configuration, make_service, make_slice, make_target
+
+ANY = Address("127.0.0.1", 0)
+
+
+class FakeConfiguration:
+    def __init__(self):
+        self.subscribers = []
+
+    def subscribe(self, callback):
+        self.subscribers.append(callback)
+
+    def publish(self, configuration):
+        for callback in self.subscribers:
+            callback(configuration)
+
+
+def find_free_port(ip):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class System:
+    """One balancer and one agent for each target, with real sockets."""
+
+    def __init__(self, callers=("127.0.0.0/8",), targets=2):
+        self.configuration = FakeConfiguration()
+        port = find_free_port("127.0.0.1")
+        self.service = make_service(address="127.0.0.1", port=port, callers=callers)
+        self.servers = [self.start_target(f"t{n}") for n in range(targets)]
+        self.agents = [
+            self.start_agent(n + 1, server.server_port)
+            for n, server in enumerate(self.servers)
+        ]
+        kernel = self.make_kernel()
+        settings = BalancerSettings("b1", "moin-a", (), ANY, ANY)
+        self.relay = balancer_streams.setup(kernel, settings)
+        self.publish()
+
+    def make_kernel(self, **services):
+        kernel = Kernel()
+        kernel.register("configuration", self.configuration)
+        kernel.register("metrics", Metrics())
+        for name, service in services.items():
+            kernel.register(name, service)
+        return kernel
+
+    @staticmethod
+    def start_target(name):
+        def answer(connection, _):
+            while data := connection.recv(1000):
+                connection.sendall(f"{name}:".encode() + data)
+
+        server = StreamServer(("127.0.0.1", 0), answer)
+        server.start()
+        return server
+
+    def start_agent(self, number, port):
+        address = Address("127.0.0.1", find_free_port("127.0.0.1"))
+        target = TargetSettings(
+            "marea",
+            "booking",
+            f"booking-{number}",
+            "h",
+            ANY,
+            Address("127.0.0.1", port),
+        )
+        settings = AgentSettings("a", "moin-a", (), ANY, address, ANY, target)
+        announcement = SimpleNamespace(incarnation=number, leaving=False)
+        kernel = self.make_kernel(announcement=announcement)
+        intake = agent_streams.setup(kernel, settings)
+        return SimpleNamespace(
+            intake=intake, address=address, announcement=announcement, number=number
+        )
+
+    def publish(self, incarnations=None):
+        targets = [
+            make_target(agent.number, streams=agent.address) for agent in self.agents
+        ]
+        part = make_slice(self.service, *targets)
+        self.configuration.publish(make_configuration(part))
+
+    def ask(self, data=b"hello"):
+        address = (self.service.address, self.service.port)
+        with socket.create_connection(address) as caller:
+            caller.sendall(data)
+            caller.shutdown(socket.SHUT_WR)
+            received = b""
+            while part := caller.recv(1000):
+                received += part
+            return received
+
+
+def test_streams_reach_targets_and_both_take_some():
+    system = System()
+    answers = {system.ask() for _ in range(30)}
+    assert answers == {b"t0:hello", b"t1:hello"}
+
+
+def test_a_leaving_target_gets_no_new_stream_from_a_stale_balancer():
+    # The caller sees an answer of another target: the agent leaves, the balancer
+    # does not know yet, the agent refuses before a byte was sent, the balancer
+    # offers the stream to the next one.
+    system = System()
+    system.agents[0].announcement.leaving = True
+    assert {system.ask() for _ in range(20)} == {b"t1:hello"}
+
+
+def test_a_caller_that_is_not_allowed_is_reset():
+    system = System(callers=("10.0.0.0/8",))
+    with pytest.raises(ConnectionError):
+        system.ask()
+
+
+def test_a_stream_for_an_earlier_incarnation_is_not_delivered():
+    # The caller gets a reset and no answer of a stranger: the address of the target
+    # was taken over, the balancer still names the earlier incarnation.
+    system = System(targets=1)
+    system.agents[0].announcement.incarnation = 99
+    with pytest.raises(ConnectionError):
+        system.ask()
+    assert system.agents[0].intake.dump()["verdicts"] == {"wrong_incarnation": 1}
+
+
+def test_a_removed_service_takes_no_new_stream_and_open_ones_go_on():
+    # The caller of an open stream sees its next answer: the record is removed, the
+    # listener closes, the relay in progress is left alone.
+    system = System()
+    address = (system.service.address, system.service.port)
+    caller = socket.create_connection(address)
+    caller.sendall(b"one")
+    assert caller.recv(100).endswith(b":one")
+    system.configuration.publish(make_configuration(revision=2))
+    with pytest.raises(ConnectionError):
+        system.ask()
+    caller.sendall(b"two")
+    assert caller.recv(100).endswith(b":two")
+    caller.close()
+
+
+def test_a_planned_stop_of_a_balancer_waits_for_its_streams():
+    # The caller sees its whole answer: the stop begins while a stream is open, the
+    # listener closes, the stop returns only after the caller has finished.
+    system = System()
+    address = (system.service.address, system.service.port)
+    caller = socket.create_connection(address)
+    caller.sendall(b"one")
+    assert caller.recv(100).endswith(b":one")
+    stop = gevent.spawn(system.relay.stop)
+    gevent.sleep(0.05)
+    assert not stop.ready()
+    caller.sendall(b"two")
+    assert caller.recv(100).endswith(b":two")
+    caller.close()
+    stop.get(timeout=10)
+
+
+def test_a_malformed_preamble_is_counted_and_the_agent_lives_on():
+    system = System(targets=1)
+    with socket.create_connection(system.agents[0].address.as_pair()) as stranger:
+        stranger.sendall(b"\x00\x04oops")
+        stranger.recv(1)
+    assert system.agents[0].intake.dump()["verdicts"] == {"malformed": 1}
+    assert system.ask() == b"t0:hello"
