Serve records, watches and announcements from a thin control host

ListReply now holds ListedRecord with the JSON text: msgspec cannot decode a union of data classes, so the former reply type could not be read at all.

All documents of one request are accepted or none.

--- /dev/null
+++ b/ibisshunt/coordination/records/store.py
@@ -0,0 +1,200 @@
+"""Apply the commands of the log to the records, the same way on every host."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from types import MappingProxyType
+
+from ...model.configuration import Configuration, ServiceSlice
+from ...model.record import Drain, RecordKind, Service
+from ...model.target import Target, TargetState
+from .changes import change_record, find_denial
+from .commands import (
+    AnnounceTarget,
+    ChangeOutcome,
+    ChangeRecords,
+    ChangeResult,
+    ChangeTargets,
+    Command,
+    RecordChange,
+    TargetChange,
+    TargetOutcome,
+)
+from .draft import Draft, RecordKey, StoredRecord
+from .targets import admit
+
+ServiceKey = tuple[str, str]
+
+
+class RecordStore:
+    """Hold the records, the targets and the configuration that follows from them.
+
+    ``revision`` is the position in the log that last changed any of them.
+    """
+
+    def __init__(self) -> None:
+        self.draft = Draft()
+        self.targets: dict[ServiceKey, tuple[Target, ...]] = {}
+        self.next_incarnation = 1
+        self.slices: dict[int, ServiceSlice] = {}
+        self.revision = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration; it never changes afterwards."""
+        return Configuration(self.revision, MappingProxyType(dict(self.slices)))
+
+    def list_records(self, business: str = "") -> tuple[StoredRecord, ...]:
+        """Return the records of one business, or all, ordered by their keys."""
+        keys = sorted(key for key in self.draft.records if business in ("", key[1]))
+        return tuple(self.draft.records[key] for key in keys)
+
+    def apply(self, index: int, command: Command) -> ChangeOutcome | TargetOutcome:
+        """Apply the command at this position of the log and return its outcome."""
+        if isinstance(command, ChangeRecords):
+            return self._change_records(index, command)
+        if isinstance(command, AnnounceTarget):
+            return self._announce(index, command)
+        return self._change_targets(index, command)
+
+    def _change_records(self, index: int, command: ChangeRecords) -> ChangeOutcome:
+        draft = self.draft.copy()
+        doubles = _find_doubles(command.changes)
+        results = tuple(
+            self._change_record(draft, command, change, index)
+            if position not in doubles
+            else ChangeResult(change.name, 0, "stands twice in one request")
+            for position, change in enumerate(command.changes)
+        )
+        if any(result.error for result in results):
+            return ChangeOutcome(_mark_undone(results), self.revision)
+        changed = draft.records != self.draft.records
+        touched = self._find_touched(draft, command.changes)
+        self.draft = draft
+        if changed:
+            self._rebuild(index, touched)
+        return ChangeOutcome(results, self.revision)
+
+    def _change_record(
+        self, draft: Draft, command: ChangeRecords, change: RecordChange, index: int
+    ) -> ChangeResult:
+        if denial := find_denial(draft, command, change):
+            return ChangeResult(change.name, 0, denial)
+        return change_record(draft, change, index, self._count_targets)
+
+    def _count_targets(self, business: str, service: str) -> int:
+        return len(self.targets.get((business, service), ()))
+
+    def _find_touched(
+        self, draft: Draft, changes: tuple[RecordChange, ...]
+    ) -> Mapping[ServiceKey, int]:
+        """Return the number of each service that the changes touch, by its key."""
+        touched: dict[ServiceKey, int] = {}
+        for change in changes:
+            for records in (self.draft, draft):
+                found = records.find(change.kind, change.business, change.name)
+                body = found.body if found else None
+                name = body.service if isinstance(body, Drain) else change.name
+                service = records.find_service(change.business, name)
+                if isinstance(body, Service | Drain) and service:
+                    touched[change.business, name] = service.number
+        return touched
+
+    def _announce(self, index: int, command: AnnounceTarget) -> TargetOutcome:
+        announced = command.announcement
+        key = (announced.business, announced.service)
+        service = self.draft.find_service(*key)
+        if service is None:
+            return TargetOutcome(0, f"service {key[0]}/{key[1]} does not exist")
+        before = self.targets.get(key, ())
+        admission = admit(before, command, self.next_incarnation)
+        target = admission.target
+        if target is None:
+            return TargetOutcome(0, admission.error)
+        self.next_incarnation = max(self.next_incarnation, target.incarnation + 1)
+        if admission.targets != before:
+            self.targets[key] = admission.targets
+            self._rebuild(index, {key: service.number})
+        return TargetOutcome(target.incarnation)
+
+    def _change_targets(self, index: int, command: ChangeTargets) -> TargetOutcome:
+        touched: dict[ServiceKey, int] = {}
+        for change in command.changes:
+            key = (change.business, change.service)
+            before = self.targets.get(key, ())
+            after = _change_target(before, change)
+            service = self.draft.find_service(*key)
+            if after == before or service is None:
+                continue
+            self.targets[key] = after
+            touched[key] = service.number
+        if touched:
+            self._rebuild(index, touched)
+        return TargetOutcome(0)
+
+    def _rebuild(self, index: int, touched: Mapping[ServiceKey, int]) -> None:
+        """Renew the slices of these services only; the others stay as they are."""
+        self.revision = index
+        drained = self._find_drained() if touched else frozenset()
+        for key, number in touched.items():
+            service = self.draft.find_service(*key)
+            if service is None:
+                self.slices.pop(number, None)
+                self.targets.pop(key, None)
+                continue
+            shown = tuple(
+                _show(target, (*key, target.name) in drained)
+                for target in self.targets.get(key, ())
+            )
+            self.slices[number] = ServiceSlice(service, shown, index)
+
+    def _find_drained(self) -> frozenset[tuple[str, str, str]]:
+        return frozenset(
+            (body.business, body.service, body.target)
+            for key, stored in self.draft.records.items()
+            if key[0] == RecordKind.DRAIN
+            and isinstance(body := stored.record.body, Drain)
+        )
+
+
+def _find_doubles(changes: tuple[RecordChange, ...]) -> frozenset[int]:
+    """Return the positions of changes whose record stands earlier in the request."""
+    seen: set[RecordKey] = set()
+    doubles: set[int] = set()
+    for position, change in enumerate(changes):
+        key = (change.kind, change.business, change.name)
+        if key in seen:
+            doubles.add(position)
+        seen.add(key)
+    return frozenset(doubles)
+
+
+def _change_target(
+    targets: tuple[Target, ...], change: TargetChange
+) -> tuple[Target, ...]:
+    # A decision about an incarnation that was replaced meanwhile finds nothing here.
+    if change.state is None:
+        return tuple(
+            target for target in targets if target.incarnation != change.incarnation
+        )
+    return tuple(
+        replace(target, state=change.state)
+        if target.incarnation == change.incarnation
+        else target
+        for target in targets
+    )
+
+
+def _show(target: Target, drained: bool) -> Target:
+    """Return the target as nodes see it: a drained one takes no new work."""
+    if drained and target.state == TargetState.READY:
+        return replace(target, state=TargetState.LEAVING)
+    return target
+
+
+def _mark_undone(results: tuple[ChangeResult, ...]) -> tuple[ChangeResult, ...]:
+    refused = sum(1 for result in results if result.error)
+    reason = f"not applied: {refused} of {len(results)} records were refused"
+    return tuple(
+        result if result.error else replace(result, revision=0, error=reason)
+        for result in results
+    )
--- a/ibisshunt/protocol/messages.py
+++ b/ibisshunt/protocol/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..model.configuration import ConfigurationUpdate
-from ..model.record import Record
+from ..model.record import RecordKind
 from ..model.target import Announcement
 from .rpc import Method
 
@@ -44,11 +44,23 @@
     business: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ListedRecord:
+    """Hold one record as its business wrote it; ``document`` is JSON text."""
+
+    kind: RecordKind
+    business: str
+    name: str
+    schema_version: int
+    revision: int
+    document: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListReply:
     """Hold the records at one revision."""
 
-    records: tuple[Record, ...]
+    records: tuple[ListedRecord, ...]
     revision: int
 
 
