--- /dev/null
+++ b/tests/features/test_whole_path.py
@@ -0,0 +1,177 @@
+import json
+
+import pytest
+import urllib3
+from gevent import socket
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from ibisshunt.components.standin.segments import SYN, Segment, build_packet
+from ibisshunt.components.standin.traffic import drive_flows, fetch_page
+from ibisshunt.model.address import Address
+from ibisshunt.protocol.messages import APPLY, ApplyRequest
+
+from .system import System
+
+scenarios("whole_path.feature")
+
+
+@pytest.fixture
+def seen():
+    return {}
+
+
+@given(
+    parsers.parse(
+        "a running system of 1 control host, {balancers:d} balancers and "
+        "{targets:d} targets a service"
+    ),
+    target_fixture="system",
+)
+def start_system(tmp_path, balancers, targets):
+    system = System(tmp_path, balancers, targets)
+    yield system
+    system.stop()
+
+
+def apply(system, operation, *records):
+    documents = tuple(json.dumps(record) for record in records)
+    return system.channel.call(APPLY, ApplyRequest(operation, documents)).outcomes
+
+
+@given("the records of both businesses are applied")
+def apply_records(system):
+    outcomes = apply(system, "records", *system.list_records())
+    assert not [outcome for outcome in outcomes if outcome.error]
+    system.wait_in_force(targets=8)
+
+
+@when(
+    parsers.parse(
+        "{flows:d} callers open a flow to booking and ask {rounds:d} times over "
+        "random balancers"
+    )
+)
+def open_flows(system, seen, flows, rounds):
+    seen["asked"] = flows * rounds
+    service = system.services["booking"]
+    seen["summary"] = drive_flows(system.fabric, service, flows, rounds)
+
+
+@then("every answer comes from booking and each flow stays with one target")
+def check_flows(seen):
+    summary = seen["summary"]
+    assert (summary.broken, summary.wrong) == (0, 0)
+    assert summary.answers == seen["asked"]
+
+
+@then("every balancer has handed on packets")
+def check_balancers(system):
+    assert set(system.fabric.handed) == {b.packets for b in system.balancers}
+
+
+@when("a caller fetches a page from booking and one from gatepass")
+def fetch_pages(system, seen):
+    for name in ("booking", "gatepass"):
+        seen[name] = fetch_page(system.services[name].address, "/hello")
+
+
+@then("the pages come from booking and from gatepass")
+def check_pages(seen):
+    for name in ("booking", "gatepass"):
+        assert seen[name].startswith(f"{name} {name}-")
+
+
+@when("the operator asks for the status")
+def ask_status(system, seen):
+    seen["status"] = system.status()
+
+
+@then(
+    parsers.parse(
+        "it names {services:d} services, {targets:d} targets and every node at the "
+        "newest revision"
+    )
+)
+def check_status(system, seen, services, targets):
+    status = seen["status"]
+    assert len(status.services) == services
+    assert len(status.targets) == targets
+    assert len(status.nodes) == len(system.balancers) + len(system.agents)
+    assert {node.revision for node in status.nodes} == {status.revision}
+
+
+@when(
+    "the fabric hands on a malformed packet, one for an unknown service and one from "
+    "a caller that is not allowed"
+)
+def send_bad_packets(system):
+    service = system.services["booking"].address
+    good = Address("127.9.0.1", 4000)
+    packets = [
+        b"\x45not a packet",
+        build_packet(Segment(good, Address("127.3.3.3", 1), 1, 0, SYN)),
+        build_packet(Segment(Address("10.1.1.1", 4000), service, 1, 0, SYN)),
+    ]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as fabric:
+        for packet in packets:
+            fabric.sendto(packet, system.balancers[0].packets.as_pair())
+
+
+@when("the operator applies a record with an unknown schema version")
+def apply_bad_record(system, seen):
+    record = {**system.list_records()[0], "schema": 9}
+    seen["outcomes"] = apply(system, "bad", record)
+
+
+@then("the packets are counted as refused and the record gets a clear error")
+def check_refusals(system, seen):
+    admin = system.balancers[0].admin
+    page = urllib3.request("GET", f"http://{admin}/metrics").data.decode()
+    for reason in ("malformed", "unknown_service", "caller_not_allowed"):
+        lines = [line for line in page.splitlines() if reason in line]
+        assert lines, f"{reason} is not counted in\n{page}"
+        assert sum(float(line.split()[-1]) for line in lines) == 1
+    (outcome,) = seen["outcomes"]
+    assert "schema" in outcome.error
+
+
+@when("20 callers ask booking while booking-1 is drained")
+def drain_target(system, seen):
+    def drain(number):
+        if number != 1:
+            return
+        record = {
+            "kind": "drain",
+            "schema": 1,
+            "business": "marea",
+            "name": "booking.booking-1",
+            "service": "booking",
+            "target": "booking-1",
+        }
+        (outcome,) = apply(system, "drain", record)
+        assert not outcome.error
+        system.wait_in_force(targets=8)
+
+    seen["asked"] = 20 * 3
+    service = system.services["booking"]
+    seen["summary"] = drive_flows(system.fabric, service, 20, 3, drain)
+    assert "booking-1" in seen["summary"].by_target
+
+
+@then("a new flow no longer reaches booking-1")
+def check_drained(system):
+    service = system.services["booking"]
+    summary = drive_flows(system.fabric, service, 20, 1, first_port=30_000)
+    assert summary.by_target == {"booking-2": 20}
+
+
+@when("the system is asked to stop")
+def stop_system(system):
+    system.kernel.stop()
+
+
+@then("every listener is closed")
+def check_closed(system):
+    for address in (system.control.rpc, system.services["booking"].address):
+        with pytest.raises(ConnectionError):
+            socket.create_connection(address.as_pair(), 2)
--- /dev/null
+++ b/tests/features/whole_path.feature
@@ -0,0 +1,35 @@
+Feature: The whole path
+  Records, announcements, packets and streams in one process over loopback sockets.
+
+  Background:
+    Given a running system of 1 control host, 3 balancers and 2 targets a service
+    And the records of both businesses are applied
+
+  Scenario: Packets of a flow may arrive at any balancer
+    When 20 callers open a flow to booking and ask 3 times over random balancers
+    Then every answer comes from booking and each flow stays with one target
+    And every balancer has handed on packets
+
+  Scenario: A stream reaches the service at its address
+    When a caller fetches a page from booking and one from gatepass
+    Then the pages come from booking and from gatepass
+
+  Scenario: Status tells what is in force
+    When the operator asks for the status
+    Then it names 4 services, 8 targets and every node at the newest revision
+
+  Scenario: Bad input is refused, counted and nothing dies
+    When the fabric hands on a malformed packet, one for an unknown service and one from a caller that is not allowed
+    And the operator applies a record with an unknown schema version
+    Then the packets are counted as refused and the record gets a clear error
+    When 5 callers open a flow to booking and ask 1 times over random balancers
+    Then every answer comes from booking and each flow stays with one target
+
+  Scenario: Draining a target breaks no flow
+    When 20 callers ask booking while booking-1 is drained
+    Then every answer comes from booking and each flow stays with one target
+    And a new flow no longer reaches booking-1
+
+  Scenario: A planned stop leaves nothing behind
+    When the system is asked to stop
+    Then every listener is closed
