--- a/ibisshunt/components/node/watcher.py
+++ b/ibisshunt/components/node/watcher.py
@@ -1,16 +1,22 @@
 """Follow the configuration from control and put it in force."""
 
+import math
 import random
+import time
 from collections.abc import Callable
 from itertools import cycle
-from types import MappingProxyType
-from typing import Any
+from typing import Any, Final
 
 import gevent
 import grpc
-from gevent.event import Event
 
-from ...const import HEARTBEAT_SECONDS, RPC_TIMEOUT_SECONDS
+from ...const import HEARTBEAT_SECONDS
+from ...coordination.distribution.receiver import (
+    Received,
+    Reception,
+    Verdict as ReceptionVerdict,
+    receive,
+)
 from ...core import Kernel
 from ...exceptions import RpcError
 from ...helpers.backoff import make_delays
@@ -20,6 +26,12 @@
 from ...protocol.messages import REPORT, WATCH, ReportRequest, WatchRequest
 from ...protocol.rpc import Channel
 
+PULL_SECONDS: Final = 1.0
+# Control sends something at least once a heartbeat.
+SILENCE_SECONDS: Final = 3 * HEARTBEAT_SECONDS
+GUARD_INTERVAL_SECONDS: Final = 0.25
+REPORT_INTERVAL_SECONDS: Final = 0.1
+
 Subscriber = Callable[[Configuration], None]
 
 
@@ -27,9 +39,15 @@
     """Hold the configuration in force and tell subscribers when it changes."""
 
     def __init__(self) -> None:
-        self.current = Configuration()
+        self._received = Received()
         self._subscribers: list[Subscriber] = []
-        self._pull = Event()
+        self._wanted_revision = 0
+        self._pull_deadline = math.inf
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._received.configuration
 
     def subscribe(self, callback: Subscriber) -> None:
         """Call back with the current configuration and after each change."""
@@ -37,26 +55,35 @@
         callback(self.current)
 
     def request_pull(self, revision: int) -> None:
-        """Note that a peer has ``revision`` in force; ask control when it is newer."""
-        if revision > self.current.revision:
-            self._pull.set()
-
-    def put_in_force(self, update: ConfigurationUpdate) -> bool:
-        """Apply an update; return False when it does not fit what is in force."""
-        if update.revision <= self.current.revision:
-            # A control host behind a partition may send old updates: going back
-            # would revert an accepted change.
-            return True
-        if update.base not in (0, self.current.revision):
-            return False
-        slices = {} if update.base == 0 else dict(self.current.slices)
-        slices.update({part.number: part for part in update.changed})
-        for number in update.removed:
-            slices.pop(number, None)
-        self.current = Configuration(update.revision, MappingProxyType(slices))
-        for callback in self._subscribers:
-            callback(self.current)
-        return True
+        """Note that a peer has ``revision`` in force.
+
+        The open watch brings it as a rule. A watch that hangs, or a host that lags,
+        does not: after the deadline another host is asked.
+        """
+        if revision <= max(self.current.revision, self._wanted_revision):
+            return
+        self._wanted_revision = revision
+        self._pull_deadline = time.monotonic() + PULL_SECONDS
+
+    def is_stale(self) -> bool:
+        """Tell whether a newer revision is known and the watch did not bring it."""
+        if self.current.revision >= self._wanted_revision:
+            self._pull_deadline = math.inf
+        return time.monotonic() > self._pull_deadline
+
+    def note_new_host(self) -> None:
+        """Give a new watch its time to bring what is wanted."""
+        if self._pull_deadline != math.inf:
+            self._pull_deadline = time.monotonic() + PULL_SECONDS
+
+    def put_in_force(self, update: ConfigurationUpdate) -> Reception:
+        """Decide on an update and tell subscribers when it changed anything."""
+        reception = receive(self._received, update)
+        self._received = reception.received
+        if reception.verdict == ReceptionVerdict.IN_FORCE:
+            for callback in self._subscribers:
+                callback(self.current)
+        return reception
 
 
 class Watcher:
@@ -78,6 +105,7 @@
         self._credentials = credentials
         self.connected_to = ""
         self._since = 0
+        self._silence_deadline = math.inf
 
     def run(self) -> None:
         """Follow one control host after another for as long as the process runs."""
@@ -91,46 +119,70 @@
 
     def _follow(self, address: Address) -> None:
         channel = Channel(address, self._credentials)
-        reporter = gevent.spawn(self._report, channel)
+        self._silence_deadline = time.monotonic() + SILENCE_SECONDS
+        self.configuration.note_new_host()
+        helpers = [
+            gevent.spawn(self._report, channel),
+            gevent.spawn(self._guard, channel),
+        ]
         try:
             self._watch(channel)
         except RpcError as error:
             warn_event("watch_lost", node=self._node, fault=error.fault)
         finally:
             self.connected_to = ""
-            reporter.kill()
+            gevent.killall(helpers)
             channel.close()
 
     def _watch(self, channel: Channel) -> None:
         request = WatchRequest(self._node, self._since, self._services)
         for update in channel.stream(WATCH, request):
             self.connected_to = str(channel.address)
-            if not self.configuration.put_in_force(update):
-                # A lost delta would leave the table wrong for good: ask for a
-                # snapshot by watching again from nothing.
-                self._since = 0
-                return
-            self._since = self.configuration.current.revision
+            self._silence_deadline = time.monotonic() + SILENCE_SECONDS
+            reception = self.configuration.put_in_force(update)
+            self._since = reception.since
+            if reception.verdict == ReceptionVerdict.CURRENT:
+                continue
             log_event(
-                "configuration_in_force",
+                "update_received",
                 node=self._node,
-                revision=self._since,
+                verdict=reception.verdict,
+                revision=update.revision,
                 changed=len(update.changed),
             )
+            if reception.verdict != ReceptionVerdict.IN_FORCE:
+                return
+
+    def _guard(self, channel: Channel) -> None:
+        """End a watch that brings nothing any more.
+
+        A host that is frozen or cut off keeps the connection open; without this the
+        node would keep its old configuration for as long as that lasts.
+        """
+        while True:
+            gevent.sleep(GUARD_INTERVAL_SECONDS)
+            silent = time.monotonic() > self._silence_deadline
+            if silent or self.configuration.is_stale():
+                peer = channel.address
+                warn_event("watch_ended", node=self._node, peer=peer, silent=silent)
+                channel.close()
+                return
 
     def _report(self, channel: Channel) -> None:
         while True:
             revision = self.configuration.current.revision
             try:
                 request = ReportRequest(self._node, self._role, revision)
-                channel.call(REPORT, request, timeout=RPC_TIMEOUT_SECONDS)
-            except RpcError as error:
-                warn_event("report_failed", node=self._node, fault=error.fault)
+                channel.call(REPORT, request)
+            except (RpcError, ValueError) as error:
+                # gRPC raises ValueError for a call on a channel that was closed.
+                warn_event("report_failed", node=self._node, reason=error)
             self._wait_for_change(revision)
 
     def _wait_for_change(self, revision: int) -> None:
-        for _ in range(int(HEARTBEAT_SECONDS / 0.1)):
-            gevent.sleep(0.1)
+        deadline = time.monotonic() + HEARTBEAT_SECONDS
+        while time.monotonic() < deadline:
+            gevent.sleep(REPORT_INTERVAL_SECONDS)
             if self.configuration.current.revision != revision:
                 return
 
--- a/tests/components/test_streams.py
+++ b/tests/components/test_streams.py
@@ -11,8 +11,7 @@
 from ibisshunt.helpers.metrics import Metrics
 from ibisshunt.model.address import Address
 from ibisshunt.settings import AgentSettings, BalancerSettings, TargetSettings
-
-from ..builders import make_configuration, make_service, make_slice, make_target
+from tests.builders import make_configuration, make_service, make_slice, make_target
 
 ANY = Address("127.0.0.1", 0)
 
--- a/tests/features/test_whole_path.py
+++ b/tests/features/test_whole_path.py
@@ -9,8 +9,7 @@
 from ibisshunt.components.standin.traffic import drive_flows, fetch_page
 from ibisshunt.model.address import Address
 from ibisshunt.protocol.messages import APPLY, ApplyRequest
-
-from .system import System
+from tests.features.system import System
 
 scenarios("whole_path.feature")
 
