--- /dev/null
+++ b/ibisshunt/coordination/flows/strays.py
@@ -0,0 +1,82 @@
+"""Find the owner of a flow that began earlier, or end the flow truthfully."""
+
+from typing import Final
+
+from ...const import IN_FORCE_SECONDS
+from ...protocol.datagram import BY_POINTER, KNOWN_ONLY, SOUGHT
+from ...protocol.packet import ICMP_ERROR
+from .actions import Action, ActionKind
+from .state import Arrival, OwnerState, drop
+from .store import Owner
+
+# A packet of an unknown flow is reset only when the flow is still unknown this much
+# later: by then every node has the newest configuration and finds what there is.
+LOST_GRACE_SECONDS: Final = IN_FORCE_SECONDS
+
+
+def follow_pointer(state: OwnerState, arrival: Arrival) -> Action | None:
+    """Forward a packet to the owner that a pointer names; None without one."""
+    key, header = arrival.key, arrival.header
+    owner = state.pointers.find(key)
+    if owner is None:
+        return None
+    found = _resolve(state, owner)
+    if found is None:
+        state.pointers.remove(key)
+        return None
+    pair, incarnation = found
+    # Two pointers may name each other. A packet goes back to an agent only when that
+    # agent asks for flows it lost at a restart.
+    seen = incarnation in header.visited and incarnation != header.origin
+    if seen or incarnation == state.incarnation:
+        return None
+    state.pointers.add(key, owner, arrival.now + state.idle)
+    return state.forward(arrival, pair, incarnation, header.flags | BY_POINTER)
+
+
+def _resolve(state: OwnerState, owner: Owner) -> tuple[tuple[str, int], int] | None:
+    """Return the address and incarnation where an owner is reached by now."""
+    target = state.table.by_incarnation.get(owner.incarnation)
+    if target is None:
+        # An agent that restarts beside its target announces itself anew.
+        target = state.table.find_by_identity(owner.identity)
+    if target is not None:
+        return target.announcement.packets.as_pair(), target.incarnation
+    if owner.revision > state.table.revision:
+        return (owner.ip, owner.port), owner.incarnation
+    return None
+
+
+def find_owner(state: OwnerState, arrival: Arrival) -> Action:
+    """Send a packet along the chain; at its end adopt, wait or reset."""
+    header = arrival.header
+    adoptable = not header.flags & KNOWN_ONLY and not arrival.bits & ICMP_ERROR
+    if adoptable and not header.origin and state.is_recovering(arrival.now):
+        arrival = arrival.with_header(origin=state.incarnation)
+        header = arrival.header
+    if not header.flags & SOUGHT:
+        target = state.find_next(arrival, suspects=True)
+        if target is not None:
+            return state.forward_to(arrival, target, header.flags)
+    if not adoptable:
+        return drop("unknown_flow")
+    if header.origin == state.incarnation:
+        # Nobody else claims the flow. If the target does not hold it either, the
+        # target's host answers with the same reset that this agent would send.
+        return state.take(arrival)
+    origin = state.table.by_incarnation.get(header.origin)
+    if origin is not None and not header.flags & SOUGHT:
+        return state.forward_to(arrival, origin, header.flags | SOUGHT)
+    return _give_up(state, arrival)
+
+
+def _give_up(state: OwnerState, arrival: Arrival) -> Action:
+    key, now = arrival.key, arrival.now
+    deadline = state.lost.find(key)
+    # A note that is much older than the grace is of an earlier flow on these ports.
+    if deadline is None or now > deadline + state.idle:
+        state.lost.add(key, now + LOST_GRACE_SECONDS)
+        return drop("lost_waiting")
+    if now < deadline:
+        return drop("lost_waiting")
+    return Action(ActionKind.RESET, "lost_flow")
--- a/ibisshunt/model/target.py
+++ b/ibisshunt/model/target.py
@@ -64,3 +64,8 @@
     def takes_new_work(self) -> bool:
         """Tell whether new flows and requests may go to the target."""
         return self.state == TargetState.READY
+
+    @property
+    def is_suspect(self) -> bool:
+        """Tell whether the target's lease has run out."""
+        return self.state == TargetState.SUSPECT
--- /dev/null
+++ b/ibisshunt/protocol/datagram.py
@@ -0,0 +1,144 @@
+"""Read and write the datagrams between balancers and agents.
+
+Each datagram starts with a fixed header; a packet follows it, or keys of flows. From
+the fabric and towards targets the payload is a bare IPv4 packet (GUE variant 1).
+"""
+
+import struct
+from dataclasses import dataclass, replace
+from enum import IntEnum
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from ..exceptions import Fault
+from .packet import KEY_BYTES
+
+HEADER_VERSION: Final = 1
+
+# Flags of a forwarded packet.
+KNOWN_ONLY: Final = 1  # deliver only when the flow is known: open and adopt nothing
+SEEKING: Final = 2  # asks whether another agent owns the flow, before it is taken
+SOUGHT: Final = 4  # no other agent owns the flow: back at the agent that asked
+BY_POINTER: Final = 8  # the sender holds a pointer that names the receiver as owner
+PASSED: Final = 16  # passed on by load or bound: the receiver takes or refuses it
+
+# version, kind, flags, hops, service number, revision, target, origin
+_HEADER = struct.Struct("!BBBBIQQQ")
+_VISITED = struct.Struct("!Q")
+# owner's identity, address, port, number of keys
+_POINTER = struct.Struct("!Q4sHH")
+_LOAD = struct.Struct("!d")
+
+HEADER_BYTES: Final = _HEADER.size
+# Keeps a datagram of keys below an Ethernet frame of 1500 bytes.
+MAX_KEYS: Final = 100
+
+
+class DatagramKind(IntEnum):
+    """Number the kinds of datagram."""
+
+    PACKET = 1
+    POINTER = 2
+    LOAD = 3
+    REVISION = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """Describe where a datagram comes from and goes to.
+
+    ``service`` is the number of the service, ``revision`` that of the sender's slice
+    of it. ``target`` is the incarnation the sender meant, ``origin`` that of the agent
+    that asked for the flow (0 when none did). ``visited`` holds the incarnations that
+    have seen the packet, in order: it bounds the walk and ends every circle.
+    """
+
+    kind: int
+    flags: int
+    service: int
+    revision: int
+    target: int
+    origin: int = 0
+    visited: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PointerList:
+    """Name the target that owns some flows.
+
+    ``owner`` is the incarnation (in the header as ``origin``), ``identity`` the
+    stable number of the target's name, ``ip`` and ``port`` its packet socket.
+    """
+
+    owner: int
+    identity: int
+    ip: str
+    port: int
+    keys: tuple[bytes, ...]
+
+
+def pack_header(header: Header) -> bytes:
+    """Return the bytes that go before the payload."""
+    fixed = _HEADER.pack(
+        HEADER_VERSION,
+        header.kind,
+        header.flags,
+        len(header.visited),
+        header.service,
+        header.revision,
+        header.target,
+        header.origin,
+    )
+    if not header.visited:
+        return fixed
+    return fixed + b"".join(map(_VISITED.pack, header.visited))
+
+
+def read_datagram(data: bytes) -> Result[tuple[Header, bytes], Fault]:
+    """Split a datagram into its header and payload; refuse what does not fit."""
+    if len(data) < _HEADER.size:
+        return Failure(Fault("read datagram", "", f"only {len(data)} bytes"))
+    version, kind, flags, hops, *rest = _HEADER.unpack_from(data)
+    if version != HEADER_VERSION:
+        return Failure(Fault("read datagram", "", f"header version {version}"))
+    start = _HEADER.size + hops * _VISITED.size
+    if len(data) < start:
+        return Failure(Fault("read datagram", "", f"{hops} hops do not fit"))
+    visited: tuple[int, ...] = ()
+    if hops:
+        visited = struct.unpack_from(f"!{hops}Q", data, _HEADER.size)
+    return Success((Header(kind, flags, *rest, visited), data[start:]))
+
+
+def pack_pointers(header: Header, pointers: PointerList) -> bytes:
+    """Return a datagram that tells a peer who owns some flows."""
+    ip = bytes(map(int, pointers.ip.split(".")))
+    fixed = _POINTER.pack(pointers.identity, ip, pointers.port, len(pointers.keys))
+    head = replace(header, kind=DatagramKind.POINTER, origin=pointers.owner)
+    return pack_header(head) + fixed + b"".join(pointers.keys)
+
+
+def read_pointers(header: Header, payload: bytes) -> Result[PointerList, Fault]:
+    """Read the payload of a POINTER datagram."""
+    if len(payload) < _POINTER.size:
+        return Failure(Fault("read pointers", "", f"only {len(payload)} bytes"))
+    identity, ip, port, count = _POINTER.unpack_from(payload)
+    body = payload[_POINTER.size :]
+    if len(body) != count * KEY_BYTES:
+        return Failure(Fault("read pointers", "", f"{count} keys do not fit"))
+    keys = (body[at : at + KEY_BYTES] for at in range(0, len(body), KEY_BYTES))
+    dotted = ".".join(map(str, ip))
+    return Success(PointerList(header.origin, identity, dotted, port, tuple(keys)))
+
+
+def pack_load(header: Header, load: float) -> bytes:
+    """Return a datagram that tells a peer the sender's load."""
+    return pack_header(replace(header, kind=DatagramKind.LOAD)) + _LOAD.pack(load)
+
+
+def read_load(payload: bytes) -> Result[float, Fault]:
+    """Read the payload of a LOAD datagram."""
+    if len(payload) != _LOAD.size:
+        return Failure(Fault("read load", "", f"{len(payload)} bytes"))
+    return Success(_LOAD.unpack(payload)[0])
--- /dev/null
+++ b/tests/protocol/test_datagram.py
@@ -0,0 +1,59 @@
+from hypothesis import given, strategies as st
+
+from ibisshunt.protocol.datagram import (
+    DatagramKind,
+    Header,
+    PointerList,
+    pack_header,
+    pack_load,
+    pack_pointers,
+    read_datagram,
+    read_load,
+    read_pointers,
+)
+
+NUMBERS = st.integers(0, 2**64 - 1)
+HEADERS = st.builds(
+    Header,
+    st.just(DatagramKind.PACKET),
+    st.integers(0, 31),
+    st.integers(0, 2**32 - 1),
+    NUMBERS,
+    NUMBERS,
+    NUMBERS,
+    st.lists(NUMBERS, max_size=40).map(tuple),
+)
+
+
+@given(HEADERS, st.binary(max_size=50))
+def test_a_header_is_read_as_it_was_written(header, payload):
+    assert read_datagram(pack_header(header) + payload).unwrap() == (header, payload)
+
+
+@given(st.binary(max_size=60))
+def test_noise_is_refused_and_raises_nothing(noise):
+    found = read_datagram(noise).value_or(None)
+    if found is not None:
+        read_pointers(*found)
+        read_load(found[1])
+
+
+def test_an_unknown_version_and_a_cut_header_are_refused():
+    data = pack_header(Header(DatagramKind.PACKET, 0, 1, 2, 3, 0, (4, 5)))
+    assert "version 9" in str(read_datagram(b"\x09" + data[1:]).failure())
+    assert "2 hops" in str(read_datagram(data[:-1]).failure())
+
+
+@given(HEADERS, st.lists(st.binary(min_size=13, max_size=13), max_size=100))
+def test_pointers_are_read_as_they_were_written(header, keys):
+    pointers = PointerList(7, 9, "127.0.0.1", 4000, tuple(keys))
+    head, payload = read_datagram(pack_pointers(header, pointers)).unwrap()
+    assert head.kind == DatagramKind.POINTER
+    assert read_pointers(head, payload).unwrap() == pointers
+
+
+def test_a_load_is_read_as_it_was_written():
+    header = Header(DatagramKind.LOAD, 0, 1, 2, 3, 4)
+    head, payload = read_datagram(pack_load(header, 2.5)).unwrap()
+    assert head.origin == 4
+    assert read_load(payload).unwrap() == 2.5
