--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -42,7 +42,7 @@
     # A SYN that comes again through another balancer, or on the ports of an older
     # flow, must find the agent that has the flow: two targets would answer otherwise,
     # and the caller's handshake end in a reset.
-    asking = arrival.with_header(origin=state.incarnation, visited=())
+    asking = state.ask_from_here(arrival.with_header(visited=()))
     target = _find_next_asked(state, asking)
     if target is None:
         return _settle(state, arrival)
@@ -73,10 +73,7 @@
     target = _find_next_asked(state, arrival)
     if target is not None:
         return state.forward_to(arrival, target, flags)
-    origin = state.table.by_incarnation.get(arrival.header.origin)
-    if origin is None:
-        return drop("origin_unknown")
-    return state.forward_to(arrival, origin, flags & ~SEEKING | SOUGHT)
+    return state.return_to_origin(arrival)
 
 
 def _settle(state: OwnerState, arrival: Arrival) -> Action:
@@ -111,7 +108,7 @@
         return state.take(arrival)
     header = arrival.header
     for target in state.table.find_chain(find_bucket(arrival.key)):
-        if target.takes_new_work and not state.has_seen(header, target):
+        if state.table.is_taker(target) and not state.has_seen(header, target):
             state.point(arrival.key, target, arrival.now)
             return state.forward_to(arrival, target, header.flags | PASSED)
     return refuse(arrival)
--- a/ibisshunt/coordination/flows/owner.py
+++ b/ibisshunt/coordination/flows/owner.py
@@ -117,9 +117,7 @@
         if found is None:
             return "malformed"
         state.wanted_revision = max(state.wanted_revision, header.revision)
-        owner = Owner(
-            found.owner, found.identity, found.ip, found.port, header.revision
-        )
+        owner = Owner(found.owner, found.identity, found.pair, header.revision)
         for key in found.keys:
             # A flow of this agent's own stays its own: the peer's entry is of an older
             # flow on the same ports.
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -1,11 +1,13 @@
 """Hold what one agent knows of its flows, its service and its peers."""
 
 from dataclasses import dataclass, replace
-from typing import Final
+from typing import Any, Final
 
 from ...model.target import Target
 from ...protocol.datagram import (
     PASSED,
+    SEEKING,
+    SOUGHT,
     DatagramKind,
     Header,
     PointerList,
@@ -39,7 +41,7 @@
         """Tell whether the packet is a SYN."""
         return bool(self.bits & OPENS and self.bits & TCP)
 
-    def with_header(self, **changes: int | tuple[int, ...]) -> "Arrival":
+    def with_header(self, **changes: Any) -> "Arrival":
         """Return the arrival with a changed header."""
         return replace(self, header=replace(self.header, **changes))
 
@@ -63,19 +65,21 @@
         self.identity = identify_target(name)
         self._started = now
         self._changed = [now] * BUCKETS
+        self._firsts: list[int] = []
 
     def update(self, table: ServiceTable, incarnation: int, now: float) -> None:
         """Take a table and the agent's own incarnation into force."""
-        old, self.table = self.table, table
+        self.table = table
         self.incarnation = incarnation
         self.idle = table.slice.service.idle_timeout_ms / 1000
         self.admit = make_caller_check(table.slice.service.callers)
         self.loads.keep_only(set(table.by_incarnation))
-        if old is None:
-            return
-        for bucket in range(BUCKETS):
-            if old.name_first(bucket) != table.name_first(bucket):
+        firsts = table.list_firsts()
+        known = self._firsts or firsts
+        for bucket, (first, former) in enumerate(zip(firsts, known, strict=True)):
+            if first != former:
                 self._changed[bucket] = now
+        self._firsts = firsts
 
     @property
     def own(self) -> Target | None:
@@ -85,7 +89,7 @@
     def takes_new_work(self) -> bool:
         """Tell whether this agent may take new flows."""
         own = self.own
-        return own is not None and own.takes_new_work and not self.leaving
+        return own is not None and self.table.is_taker(own) and not self.leaving
 
     def is_recovering(self, now: float) -> bool:
         """Tell whether flows of a former agent of this target may be unknown.
@@ -140,14 +144,9 @@
 
     def point(self, key: bytes, target: Target, now: float) -> None:
         """Remember that a target owns a flow."""
-        packets = target.announcement.packets
-        owner = Owner(
-            target.incarnation,
-            identify_target(target.name),
-            packets.ip,
-            packets.port,
-            self.table.revision,
-        )
+        pair = target.announcement.packets.as_pair()
+        identity = identify_target(target.name)
+        owner = Owner(target.incarnation, identity, pair, self.table.revision)
         self.pointers.add(key, owner, now + self.idle)
 
     def forward_to(self, arrival: Arrival, target: Target, flags: int) -> Action:
@@ -167,10 +166,25 @@
             max(header.revision, self.table.revision),
             incarnation,
             header.origin,
+            header.reply_to,
             self._add_visit(header),
         )
         return Action(ActionKind.FORWARD, header=forwarded, pair=pair)
 
+    def ask_from_here(self, arrival: Arrival) -> Arrival:
+        """Return the arrival as one that this agent wants to hear about again."""
+        own = self.own
+        if own is None:
+            return arrival
+        reply_to = own.announcement.packets.as_pair()
+        return arrival.with_header(origin=self.incarnation, reply_to=reply_to)
+
+    def return_to_origin(self, arrival: Arrival) -> Action:
+        """Send a packet back to the agent that asked: nobody else owns its flow."""
+        header = arrival.header
+        flags = header.flags & ~SEEKING | SOUGHT
+        return self.forward(arrival, header.reply_to, header.origin, flags)
+
     def _add_visit(self, header: Header) -> tuple[int, ...]:
         """Return the visited targets with this one, and with the one meant.
 
@@ -188,10 +202,8 @@
         own = self.own
         if target is None or own is None or target.incarnation == self.incarnation:
             return
-        packets = own.announcement.packets
-        pointers = PointerList(
-            self.incarnation, self.identity, packets.ip, packets.port, tuple(keys)
-        )
+        pair = own.announcement.packets.as_pair()
+        pointers = PointerList(self.incarnation, self.identity, pair, tuple(keys))
         self.send(target, pack_pointers(self.make_head(target), pointers))
 
     def make_head(self, target: Target) -> Header:
--- a/ibisshunt/coordination/flows/store.py
+++ b/ibisshunt/coordination/flows/store.py
@@ -96,8 +96,7 @@
 
     incarnation: int
     identity: int
-    ip: str
-    port: int
+    pair: tuple[str, int]
     revision: int
 
 
--- a/ibisshunt/coordination/flows/strays.py
+++ b/ibisshunt/coordination/flows/strays.py
@@ -43,16 +43,16 @@
     if target is not None:
         return target.announcement.packets.as_pair(), target.incarnation
     if owner.revision > state.table.revision:
-        return (owner.ip, owner.port), owner.incarnation
+        return owner.pair, owner.incarnation
     return None
 
 
 def find_owner(state: OwnerState, arrival: Arrival) -> Action:
     """Send a packet along the chain; at its end adopt, wait or reset."""
     header = arrival.header
-    adoptable = not header.flags & KNOWN_ONLY and not arrival.bits & ICMP_ERROR
+    adoptable = _is_adoptable(state, arrival)
     if adoptable and not header.origin and state.is_recovering(arrival.now):
-        arrival = arrival.with_header(origin=state.incarnation)
+        arrival = state.ask_from_here(arrival)
         header = arrival.header
     if not header.flags & SOUGHT:
         target = state.find_next(arrival, suspects=True)
@@ -64,12 +64,18 @@
         # Nobody else claims the flow. If the target does not hold it either, the
         # target's host answers with the same reset that this agent would send.
         return state.take(arrival)
-    origin = state.table.by_incarnation.get(header.origin)
-    if origin is not None and not header.flags & SOUGHT:
-        return state.forward_to(arrival, origin, header.flags | SOUGHT)
+    if header.origin and not header.flags & SOUGHT:
+        return state.return_to_origin(arrival)
     return _give_up(state, arrival)
 
 
+def _is_adoptable(state: OwnerState, arrival: Arrival) -> bool:
+    """Tell whether a packet may show an agent a flow that it lost at a restart."""
+    if arrival.header.flags & KNOWN_ONLY or arrival.bits & ICMP_ERROR:
+        return False
+    return state.admit(arrival.key[1:5])
+
+
 def _give_up(state: OwnerState, arrival: Arrival) -> Action:
     key, now = arrival.key, arrival.now
     deadline = state.lost.find(key)
--- a/ibisshunt/coordination/flows/table.py
+++ b/ibisshunt/coordination/flows/table.py
@@ -59,14 +59,30 @@
         )
         self.by_incarnation = {target.incarnation: target for target in self.targets}
         self.valid_until = _find_next_step(self.targets, now)
+        # When every lease has run out it is control that cannot be reached, rather than
+        # that all targets died at once: suspects then take new flows.
+        ready = [target for target in self.targets if target.takes_new_work]
+        takers = ready or [target for target in self.targets if target.is_suspect]
+        self._takers = {target.incarnation for target in takers}
         self._identities = [identify_target(target.name) for target in self.targets]
         self._shares = [_find_share(target, now) for target in self.targets]
+        self._is_plain = self._check_plain()
         self._chains: dict[int, tuple[Target, ...]] = {}
         self._choices: dict[int, int] = {}
         # Balancers ask for the first choice only and hold every service: two bytes a
         # bucket instead of a chain.
         self._firsts = array("h", [_UNKNOWN]) * BUCKETS
 
+    def _check_plain(self) -> bool:
+        """Tell whether all targets take new flows, alike, under names of their own."""
+        weights = {target.announcement.weight for target in self.targets}
+        return (
+            len(weights) == 1
+            and len(self._takers) == len(self.targets)
+            and min(self._shares) >= 1.0
+            and len(set(self._identities)) == len(self._identities)
+        )
+
     def is_old(self, now: float) -> bool:
         """Tell whether the share of a cold target has grown since."""
         return now >= self.valid_until
@@ -96,11 +112,20 @@
         chain = self.find_chain(bucket)
         return chain[: self._choices[bucket]]
 
+    def is_taker(self, target: Target) -> bool:
+        """Tell whether a target may take new flows."""
+        return target.incarnation in self._takers
+
     def name_first(self, bucket: int) -> int:
         """Return the incarnation of whom to ask first, or 0 for nobody."""
         index = self.find_first(bucket)
         return 0 if index == NOBODY else self.targets[index].incarnation
 
+    def list_firsts(self) -> list[int]:
+        """Return the incarnation of whom to ask first, for every bucket."""
+        names = [target.incarnation for target in self.targets] + [0]
+        return [names[self.find_first(bucket)] for bucket in range(BUCKETS)]
+
     def find_by_identity(self, identity: int) -> Target | None:
         """Return the newest incarnation of the target with that number."""
         found = [
@@ -156,7 +181,7 @@
 
     def _choose(self, bucket: int, ranked: list[int]) -> list[int]:
         """Return the first two takers, in two failure domains where there are two."""
-        ready = [index for index in ranked if self.targets[index].takes_new_work]
+        ready = [index for index in ranked if self.is_taker(self.targets[index])]
         takers = [index for index in ready if self._is_warm(bucket, index)] or ready
         if len(takers) < 2:
             return takers
--- a/ibisshunt/protocol/datagram.py
+++ b/ibisshunt/protocol/datagram.py
@@ -23,11 +23,11 @@
 BY_POINTER: Final = 8  # the sender holds a pointer that names the receiver as owner
 PASSED: Final = 16  # passed on by load or bound: the receiver takes or refuses it
 
-# version, kind, flags, hops, service number, revision, target, origin
-_HEADER = struct.Struct("!BBBBIQQQ")
+# version, kind, flags, hops, service number, revision, target, origin, its address
+_HEADER = struct.Struct("!BBBBIQQQ4sH")
 _VISITED = struct.Struct("!Q")
-# owner's identity, address, port, number of keys
-_POINTER = struct.Struct("!Q4sHH")
+# owner's identity, number of keys
+_POINTER = struct.Struct("!QH")
 _LOAD = struct.Struct("!d")
 
 HEADER_BYTES: Final = _HEADER.size
@@ -35,6 +35,10 @@
 MAX_KEYS: Final = 100
 
 
+Pair = tuple[str, int]
+NOWHERE: Final[Pair] = ("0.0.0.0", 0)
+
+
 class DatagramKind(IntEnum):
     """Number the kinds of datagram."""
 
@@ -50,8 +54,10 @@
 
     ``service`` is the number of the service, ``revision`` that of the sender's slice
     of it. ``target`` is the incarnation the sender meant, ``origin`` that of the agent
-    that asked for the flow (0 when none did). ``visited`` holds the incarnations that
-    have seen the packet, in order: it bounds the walk and ends every circle.
+    that asked for the flow (0 when none did) and ``reply_to`` that agent's packet
+    socket: who answers need not have it in its table. ``visited`` holds the
+    incarnations that have seen the packet, in order: it bounds the walk and ends every
+    circle.
     """
 
     kind: int
@@ -60,6 +66,7 @@
     revision: int
     target: int
     origin: int = 0
+    reply_to: Pair = NOWHERE
     visited: tuple[int, ...] = ()
 
 
@@ -68,13 +75,12 @@
     """Name the target that owns some flows.
 
     ``owner`` is the incarnation (in the header as ``origin``), ``identity`` the
-    stable number of the target's name, ``ip`` and ``port`` its packet socket.
+    stable number of the target's name, ``pair`` its packet socket (``reply_to``).
     """
 
     owner: int
     identity: int
-    ip: str
-    port: int
+    pair: Pair
     keys: tuple[bytes, ...]
 
 
@@ -89,6 +95,8 @@
         header.revision,
         header.target,
         header.origin,
+        bytes(map(int, header.reply_to[0].split("."))),
+        header.reply_to[1],
     )
     if not header.visited:
         return fixed
@@ -99,7 +107,7 @@
     """Split a datagram into its header and payload; refuse what does not fit."""
     if len(data) < _HEADER.size:
         return Failure(Fault("read datagram", "", f"only {len(data)} bytes"))
-    version, kind, flags, hops, *rest = _HEADER.unpack_from(data)
+    version, kind, flags, hops, *numbers, ip, port = _HEADER.unpack_from(data)
     if version != HEADER_VERSION:
         return Failure(Fault("read datagram", "", f"header version {version}"))
     start = _HEADER.size + hops * _VISITED.size
@@ -108,14 +116,20 @@
     visited: tuple[int, ...] = ()
     if hops:
         visited = struct.unpack_from(f"!{hops}Q", data, _HEADER.size)
-    return Success((Header(kind, flags, *rest, visited), data[start:]))
+    reply_to = (".".join(map(str, ip)), port)
+    header = Header(kind, flags, *numbers, reply_to, visited)
+    return Success((header, data[start:]))
 
 
 def pack_pointers(header: Header, pointers: PointerList) -> bytes:
     """Return a datagram that tells a peer who owns some flows."""
-    ip = bytes(map(int, pointers.ip.split(".")))
-    fixed = _POINTER.pack(pointers.identity, ip, pointers.port, len(pointers.keys))
-    head = replace(header, kind=DatagramKind.POINTER, origin=pointers.owner)
+    fixed = _POINTER.pack(pointers.identity, len(pointers.keys))
+    head = replace(
+        header,
+        kind=DatagramKind.POINTER,
+        origin=pointers.owner,
+        reply_to=pointers.pair,
+    )
     return pack_header(head) + fixed + b"".join(pointers.keys)
 
 
@@ -123,13 +137,13 @@
     """Read the payload of a POINTER datagram."""
     if len(payload) < _POINTER.size:
         return Failure(Fault("read pointers", "", f"only {len(payload)} bytes"))
-    identity, ip, port, count = _POINTER.unpack_from(payload)
+    identity, count = _POINTER.unpack_from(payload)
     body = payload[_POINTER.size :]
     if len(body) != count * KEY_BYTES:
         return Failure(Fault("read pointers", "", f"{count} keys do not fit"))
     keys = (body[at : at + KEY_BYTES] for at in range(0, len(body), KEY_BYTES))
-    dotted = ".".join(map(str, ip))
-    return Success(PointerList(header.origin, identity, dotted, port, tuple(keys)))
+    pointers = PointerList(header.origin, identity, header.reply_to, tuple(keys))
+    return Success(pointers)
 
 
 def pack_load(header: Header, load: float) -> bytes:
--- a/tests/protocol/test_datagram.py
+++ b/tests/protocol/test_datagram.py
@@ -21,6 +21,7 @@
     NUMBERS,
     NUMBERS,
     NUMBERS,
+    st.tuples(st.ip_addresses(v=4).map(str), st.integers(0, 65_535)),
     st.lists(NUMBERS, max_size=40).map(tuple),
 )
 
@@ -39,14 +40,14 @@
 
 
 def test_an_unknown_version_and_a_cut_header_are_refused():
-    data = pack_header(Header(DatagramKind.PACKET, 0, 1, 2, 3, 0, (4, 5)))
+    data = pack_header(Header(DatagramKind.PACKET, 0, 1, 2, 3, visited=(4, 5)))
     assert "version 9" in str(read_datagram(b"\x09" + data[1:]).failure())
     assert "2 hops" in str(read_datagram(data[:-1]).failure())
 
 
 @given(HEADERS, st.lists(st.binary(min_size=13, max_size=13), max_size=100))
 def test_pointers_are_read_as_they_were_written(header, keys):
-    pointers = PointerList(7, 9, "127.0.0.1", 4000, tuple(keys))
+    pointers = PointerList(7, 9, ("127.0.0.1", 4000), tuple(keys))
     head, payload = read_datagram(pack_pointers(header, pointers)).unwrap()
     assert head.kind == DatagramKind.POINTER
     assert read_pointers(head, payload).unwrap() == pointers
