Work out the first choice of a bucket without ranking all targets

Cause: most of the state machine's time went into ranking chains that nobody asked for; balancers ask for the first choice only.

--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -7,8 +7,8 @@
 from ...protocol.datagram import PASSED, SEEKING, SOUGHT
 from .actions import Action
 from .loads import find_load
+from .ranking import find_bucket
 from .state import Arrival, OwnerState, drop, refuse
-from .table import find_bucket
 
 # A first packet that comes again this much later is taken though nobody has answered
 # the question who owns it: some agent on the way is dead.
--- a/ibisshunt/coordination/flows/owner.py
+++ b/ibisshunt/coordination/flows/owner.py
@@ -15,10 +15,11 @@
 from .actions import DELIVER, Action, Notice
 from .loads import tell_load
 from .openings import open_flow
+from .ranking import find_bucket
 from .state import Arrival, OwnerState, drop
 from .store import Owner
 from .strays import find_owner, follow_pointer
-from .table import ServiceTable, find_bucket
+from .table import ServiceTable
 
 
 class FlowOwner:
--- a/ibisshunt/coordination/flows/router.py
+++ b/ibisshunt/coordination/flows/router.py
@@ -10,7 +10,8 @@
 from ...protocol.datagram import KNOWN_ONLY, DatagramKind, Header, pack_header
 from ...protocol.packet import ICMP_ERROR, OPENS, TCP, PacketError, scan_packet
 from .callers import make_caller_check
-from .table import NOBODY, ServiceTable, find_bucket
+from .ranking import find_bucket
+from .table import NOBODY, ServiceTable
 
 # Former addresses a balancer remembers at most.
 MAX_FORMER_ADDRESSES: Final = 4096
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -17,8 +17,9 @@
 from .actions import DELIVER, Action, ActionKind, Notice
 from .callers import make_caller_check
 from .hunting import PeerLoads
+from .ranking import BUCKETS, find_bucket, identify_target
 from .store import DeadlineStore, FlowStore, Owner, PointerStore
-from .table import BUCKETS, ServiceTable, find_bucket, identify_target
+from .table import ServiceTable
 
 MAX_WAITING_KEYS: Final = 20_000
 MAX_OUTBOX: Final = 10_000
--- a/ibisshunt/coordination/flows/table.py
+++ b/ibisshunt/coordination/flows/table.py
@@ -1,40 +1,28 @@
 """Order the targets of a service for each bucket of flows."""
 
-import math
-import struct
 from array import array
 from collections.abc import Iterator
 from typing import Final
 
 import xxhash
 
-from ...const import WARM_UP_SECONDS
 from ...model.configuration import ServiceSlice
 from ...model.target import Target, TargetState
+from .ranking import (
+    BUCKETS,
+    HASH_RANGE,
+    find_next_step,
+    find_score,
+    find_share,
+    identify_target,
+    pack_bucket,
+)
 
-BUCKETS: Final = 4096
 CHAIN_LIMIT: Final = 32
-# The share of a cold target grows in steps of this many seconds: each step costs a
-# rebuild of the service's table.
-RAMP_STEP_SECONDS: Final = 1.0
-SMALLEST_SHARE: Final = 0.05
 # Buckets worked out before other tasks may run.
 PREPARE_STEP: Final = 64
-
 NOBODY: Final = -1
 _UNKNOWN: Final = -2
-_UNIT: Final = 2.0**64
-_BUCKET = struct.Struct("!H")
-
-
-def find_bucket(key: bytes) -> int:
-    """Return the bucket of a flow key; every node finds the same."""
-    return xxhash.xxh3_64_intdigest(key) & (BUCKETS - 1)
-
-
-def identify_target(name: str) -> int:
-    """Return the number that stands for a target's name in all hashes."""
-    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 class ServiceTable:
@@ -58,30 +46,33 @@
             target for target in slice_.targets if target.state != TargetState.GONE
         )
         self.by_incarnation = {target.incarnation: target for target in self.targets}
-        self.valid_until = _find_next_step(self.targets, now)
+        self.valid_until = find_next_step(self.targets, now)
         # When every lease has run out it is control that cannot be reached, rather than
         # that all targets died at once: suspects then take new flows.
         ready = [target for target in self.targets if target.takes_new_work]
         takers = ready or [target for target in self.targets if target.is_suspect]
         self._takers = {target.incarnation for target in takers}
         self._identities = [identify_target(target.name) for target in self.targets]
-        self._shares = [_find_share(target, now) for target in self.targets]
-        self._is_plain = self._check_plain()
+        self._shares = [find_share(target, now) for target in self.targets]
+        self._weights = [max(1, one.announcement.weight) for one in self.targets]
+        self._newest_takers = self._sort_takers()
+        self._has_cold = any(self._shares[one] < 1 for one in self._newest_takers)
+        self._is_even = len({self._weights[one] for one in self._newest_takers}) == 1
         self._chains: dict[int, tuple[Target, ...]] = {}
         self._choices: dict[int, int] = {}
         # Balancers ask for the first choice only and hold every service: two bytes a
         # bucket instead of a chain.
         self._firsts = array("h", [_UNKNOWN]) * BUCKETS
 
-    def _check_plain(self) -> bool:
-        """Tell whether all targets take new flows, alike, under names of their own."""
-        weights = {target.announcement.weight for target in self.targets}
-        return (
-            len(weights) == 1
-            and len(self._takers) == len(self.targets)
-            and min(self._shares) >= 1.0
-            and len(set(self._identities)) == len(self._identities)
-        )
+    def _sort_takers(self) -> list[int]:
+        """Return the indexes of the takers, the newest incarnation first.
+
+        Two incarnations of one name score alike: the newer wins.
+        """
+        takers = [
+            index for index, target in enumerate(self.targets) if self.is_taker(target)
+        ]
+        return sorted(takers, key=lambda one: -self.targets[one].incarnation)
 
     def is_old(self, now: float) -> bool:
         """Tell whether the share of a cold target has grown since."""
@@ -95,11 +86,32 @@
         """
         first = self._firsts[bucket]
         if first == _UNKNOWN:
-            ranked = self._rank(bucket)
-            order = self._choose(bucket, ranked) or sorted(ranked, key=self._is_suspect)
-            first = self._firsts[bucket] = order[0] if order else NOBODY
+            first = self._firsts[bucket] = self._work_out_first(bucket)
         return first
 
+    def _work_out_first(self, bucket: int) -> int:
+        """Return what the chain starts with, without working out the chain."""
+        candidates = self._newest_takers
+        if self._has_cold:
+            warm = [index for index in candidates if self._is_warm(bucket, index)]
+            candidates = warm or candidates
+        if not candidates:
+            order = sorted(self._rank(bucket), key=self._is_suspect)
+            return order[0] if order else NOBODY
+        salt = pack_bucket(bucket)
+        identities = self._identities
+        digests = [
+            xxhash.xxh3_64_intdigest(salt, identities[index]) for index in candidates
+        ]
+        if self._is_even:
+            # All take an equal part: the largest digest wins and needs no logarithm.
+            return candidates[digests.index(max(digests))]
+        scores = [
+            find_score(digest, self._weights[index])
+            for digest, index in zip(digests, candidates, strict=True)
+        ]
+        return candidates[scores.index(min(scores))]
+
     def find_chain(self, bucket: int) -> tuple[Target, ...]:
         """Return the targets to ask, first choice first; at most CHAIN_LIMIT."""
         chain = self._chains.get(bucket)
@@ -168,13 +180,11 @@
 
     def _rank(self, bucket: int) -> list[int]:
         """Return the indexes of all targets by weighted rendezvous hashing."""
-        salt = _BUCKET.pack(bucket)
+        salt = pack_bucket(bucket)
         scores = []
         for index, target in enumerate(self.targets):
             digest = xxhash.xxh3_64_intdigest(salt, self._identities[index])
-            weight = max(1, target.announcement.weight)
-            score = -math.log((digest + 1) / _UNIT) / weight
-            # Two incarnations of one name score alike: the newer goes first.
+            score = find_score(digest, self._weights[index])
             scores.append((score, -target.incarnation, index))
         scores.sort()
         return [index for _, _, index in scores]
@@ -201,24 +211,6 @@
         share = self._shares[index]
         if share >= 1.0:
             return True
-        salt = b"ramp" + _BUCKET.pack(bucket)
+        salt = b"ramp" + pack_bucket(bucket)
         digest = xxhash.xxh3_64_intdigest(salt, self._identities[index])
-        return digest / _UNIT < share
-
-
-def _find_share(target: Target, now: float) -> float:
-    """Return the part of its full share that a target takes by now."""
-    left = target.warm_deadline - now
-    if left <= 0:
-        return 1.0
-    steps = math.ceil(left / RAMP_STEP_SECONDS)
-    return max(SMALLEST_SHARE, 1.0 - steps * RAMP_STEP_SECONDS / WARM_UP_SECONDS)
-
-
-def _find_next_step(targets: tuple[Target, ...], now: float) -> float:
-    """Return the time at which a share next grows; infinity when all are warm."""
-    lefts = [target.warm_deadline - now for target in targets]
-    steps = [
-        left % RAMP_STEP_SECONDS or RAMP_STEP_SECONDS for left in lefts if left > 0
-    ]
-    return now + min(steps) if steps else math.inf
+        return digest / HASH_RANGE < share
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from ibisshunt.coordination.flows.ranking import find_bucket
 from ibisshunt.coordination.flows.strays import LOST_GRACE_SECONDS
-from ibisshunt.coordination.flows.table import ServiceTable, find_bucket
+from ibisshunt.coordination.flows.table import ServiceTable
 from ibisshunt.model.target import TargetState
 from ibisshunt.protocol.datagram import DatagramKind, Header
 from ibisshunt.protocol.packet import scan_packet
--- a/tests/coordination/flows/test_table.py
+++ b/tests/coordination/flows/test_table.py
@@ -4,12 +4,8 @@
 from hypothesis import given, strategies as st
 
 from ibisshunt.const import WARM_UP_SECONDS
-from ibisshunt.coordination.flows.table import (
-    BUCKETS,
-    CHAIN_LIMIT,
-    NOBODY,
-    ServiceTable,
-)
+from ibisshunt.coordination.flows.ranking import BUCKETS
+from ibisshunt.coordination.flows.table import CHAIN_LIMIT, NOBODY, ServiceTable
 from ibisshunt.model.target import TargetState
 from tests.flow_fakes import make_slice, make_target
 
