--- a/ibisshunt/components/control/server.py
+++ b/ibisshunt/components/control/server.py
@@ -92,7 +92,9 @@
             now=time.time(),
             changes=tuple(result.unwrap() for result in parsed),
         )
-        outcome = self._propose(command, ChangeOutcome, context)
+        outcome = store.precheck(command)
+        if outcome is None:
+            outcome = self._propose(command, ChangeOutcome, context)
         results = tuple(
             RecordOutcome(result.name, result.revision, result.error)
             for result in outcome.results
--- a/ibisshunt/components/control/state.py
+++ b/ibisshunt/components/control/state.py
@@ -8,6 +8,7 @@
     TargetOutcome,
     decode_command,
 )
+from ...coordination.records.snapshot import read_snapshot, take_snapshot
 from ...coordination.records.store import RecordStore
 from ...exceptions import Fault, StorageError
 from ...protocol.codec import encode
@@ -44,11 +45,16 @@
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
-        raise NotImplementedError
+        return take_snapshot(self.store)
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state."""
-        raise NotImplementedError
+        found = read_snapshot(data)
+        if fault := found.swap().value_or(None):
+            raise StorageError(Fault("restore snapshot", "", fault.reason))
+        self.store = found.unwrap()
+        self.sender.restart(self.store.configuration)
+        self._wake()
 
     def wait_beyond(self, revision: int, timeout: float) -> None:
         """Return when there is a newer revision, or after ``timeout`` seconds."""
--- a/ibisshunt/coordination/records/changes.py
+++ b/ibisshunt/coordination/records/changes.py
@@ -21,17 +21,6 @@
 ADMIN_KINDS = (RecordKind.BUSINESS, RecordKind.GRANT)
 
 
-def find_grant(draft: Draft, token_hash: str) -> Grant | None:
-    """Return the grant of a token, or None."""
-    if not token_hash:
-        return None
-    for stored in draft.records.values():
-        body = stored.record.body
-        if isinstance(body, Grant) and body.token_hash == token_hash:
-            return body
-    return None
-
-
 def change_record(
     draft: Draft, change: RecordChange, index: int, count_targets: CountTargets
 ) -> ChangeResult:
@@ -53,7 +42,7 @@
     """Return why the sender may not make this change, or an empty text."""
     if command.admin:
         return ""
-    grant = find_grant(draft, command.token_hash)
+    grant = draft.find_grant(command.token_hash)
     if grant is None:
         return "denied: the token matches no grant"
     if change.kind in ADMIN_KINDS:
@@ -176,7 +165,7 @@
 
 
 def _find_holder(draft: Draft, grant: Grant) -> str:
-    other = find_grant(draft, grant.token_hash)
+    other = draft.find_grant(grant.token_hash)
     if other is None or (other.business, other.name) == (grant.business, grant.name):
         return ""
     return "key token_hash: the token is in use by another grant"
--- a/ibisshunt/coordination/records/draft.py
+++ b/ibisshunt/coordination/records/draft.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from ...model.record import Record, RecordKind, Service
+from ...model.record import Grant, Record, RecordKind, Service
 
 RecordKey = tuple[RecordKind, str, str]
 ListenKey = tuple[str, int, int]
 
+NO_KEY: RecordKey = (RecordKind.GRANT, "", "")
+
 
 @dataclass(frozen=True, slots=True)
 class StoredRecord:
@@ -18,7 +20,7 @@
 
 @dataclass(slots=True)
 class Draft:
-    """Hold all records by key, and the key of the service at each address.
+    """Hold all records by key, and who has each address and each token.
 
     Changes are tried on a copy, which replaces the original only when every change of
     the command is accepted: a command is put in force whole or not at all.
@@ -26,11 +28,17 @@
 
     records: dict[RecordKey, StoredRecord] = field(default_factory=dict)
     listeners: dict[ListenKey, RecordKey] = field(default_factory=dict)
+    holders: dict[str, RecordKey] = field(default_factory=dict)
     next_service: int = 1
 
     def copy(self) -> "Draft":
         """Return a draft that can be changed without changing this one."""
-        return Draft(dict(self.records), dict(self.listeners), self.next_service)
+        return Draft(
+            dict(self.records),
+            dict(self.listeners),
+            dict(self.holders),
+            self.next_service,
+        )
 
     def find(self, kind: RecordKind, business: str, name: str) -> Record | None:
         """Return the record, or None."""
@@ -42,6 +50,12 @@
         record = self.find(RecordKind.SERVICE, business, name)
         return record.body if record and isinstance(record.body, Service) else None
 
+    def find_grant(self, token_hash: str) -> Grant | None:
+        """Return the grant of a token, or None."""
+        stored = self.records.get(self.holders.get(token_hash, NO_KEY))
+        body = stored.record.body if stored else None
+        return body if isinstance(body, Grant) else None
+
     def put(self, stored: StoredRecord) -> None:
         """Add or replace a record."""
         record = stored.record
@@ -50,12 +64,17 @@
         self.records[key] = stored
         if isinstance(record.body, Service):
             self.listeners[listen_key(record.body)] = key
+        if isinstance(record.body, Grant):
+            self.holders[record.body.token_hash] = key
 
     def remove(self, key: RecordKey) -> None:
         """Remove a record if it is there."""
         stored = self.records.pop(key, None)
-        if stored and isinstance(stored.record.body, Service):
-            del self.listeners[listen_key(stored.record.body)]
+        body = stored.record.body if stored else None
+        if isinstance(body, Service):
+            del self.listeners[listen_key(body)]
+        if isinstance(body, Grant):
+            del self.holders[body.token_hash]
 
 
 def listen_key(service: Service) -> ListenKey:
--- a/ibisshunt/coordination/records/store.py
+++ b/ibisshunt/coordination/records/store.py
@@ -1,13 +1,16 @@
 """Apply the commands of the log to the records, the same way on every host."""
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
 from types import MappingProxyType
 
 from ...model.configuration import Configuration, ServiceSlice
-from ...model.record import Drain, RecordKind, Service
+from ...model.record import Business, Drain, RecordKind, Service
 from ...model.target import Target, TargetState
-from .changes import change_record, find_denial
+from .allowances import Charge, charge
+from .answers import MAX_KEPT_ADMIN, AnswerBook, count_kept
+from .changes import ADMIN_KINDS, change_record, find_denial
 from .commands import (
     AnnounceTarget,
     ChangeOutcome,
@@ -20,6 +23,7 @@
     TargetOutcome,
 )
 from .draft import Draft, RecordKey, StoredRecord
+from .history import History
 from .targets import admit
 
 ServiceKey = tuple[str, str]
@@ -37,6 +41,9 @@
         self.next_incarnation = 1
         self.slices: dict[int, ServiceSlice] = {}
         self.revision = 0
+        self.deadlines: Mapping[str, float] = {}
+        self.answers = AnswerBook()
+        self.history = History()
 
     @property
     def configuration(self) -> Configuration:
@@ -56,30 +63,97 @@
             return self._announce(index, command)
         return self._change_targets(index, command)
 
+    def precheck(self, command: ChangeRecords) -> ChangeOutcome | None:
+        """Return an answer that needs no place in the log, or None.
+
+        A resend, a stranger or a business over its limit costs no write: else they
+        could fill the log that all businesses share.
+        """
+        if answer := self.answers.find(command):
+            return answer
+        if denials := self._find_denials(command):
+            return ChangeOutcome(denials, self.revision)
+        charged = self._charge(command)
+        return self._refuse_all(command, charged.error) if charged.error else None
+
     def _change_records(self, index: int, command: ChangeRecords) -> ChangeOutcome:
+        # Checked again here: what the leader saw before it proposed may be outdated.
+        if answer := self.precheck(command):
+            return answer
+        limit, actor = self._count_answers(command), self._name_actor(command)
+        self.deadlines = self._charge(command).deadlines
+        outcome = self._try_changes(index, command, actor)
+        self.answers.remember(command, outcome, limit)
+        return outcome
+
+    def _try_changes(
+        self, index: int, command: ChangeRecords, actor: str
+    ) -> ChangeOutcome:
         draft = self.draft.copy()
         doubles = _find_doubles(command.changes)
         results = tuple(
-            self._change_record(draft, command, change, index)
+            change_record(draft, change, index, self._count_targets)
             if position not in doubles
             else ChangeResult(change.name, 0, "stands twice in one request")
             for position, change in enumerate(command.changes)
         )
         if any(result.error for result in results):
             return ChangeOutcome(_mark_undone(results), self.revision)
-        changed = draft.records != self.draft.records
         touched = self._find_touched(draft, command.changes)
+        self.history.note(command, actor, index, self.draft, draft)
+        changed = draft.records != self.draft.records
+        for token_hash in self.draft.holders.keys() - draft.holders.keys():
+            self.answers.forget(token_hash)
         self.draft = draft
         if changed:
             self._rebuild(index, touched)
         return ChangeOutcome(results, self.revision)
 
-    def _change_record(
-        self, draft: Draft, command: ChangeRecords, change: RecordChange, index: int
-    ) -> ChangeResult:
-        if denial := find_denial(draft, command, change):
-            return ChangeResult(change.name, 0, denial)
-        return change_record(draft, change, index, self._count_targets)
+    def _find_denials(self, command: ChangeRecords) -> tuple[ChangeResult, ...]:
+        denials = tuple(
+            ChangeResult(change.name, 0, find_denial(self.draft, command, change))
+            for change in command.changes
+        )
+        if not any(denial.error for denial in denials):
+            return ()
+        return _mark_undone(denials)
+
+    def _charge(self, command: ChangeRecords) -> Charge:
+        charged = Charge(self.deadlines)
+        # Whoever holds the administrator's token must get through in an emergency.
+        if command.admin and command.token_hash:
+            return charged
+        counts = Counter(
+            change.business
+            for change in command.changes
+            if change.kind not in ADMIN_KINDS
+        )
+        for business, count in sorted(counts.items()):
+            rate = self._find_rate(business)
+            if rate and not charged.error:
+                charged = charge(charged.deadlines, business, count, rate, command.now)
+        return charged
+
+    def _find_rate(self, business: str) -> int:
+        record = self.draft.find(RecordKind.BUSINESS, business, business)
+        body = record.body if record else None
+        return body.changes_per_minute if isinstance(body, Business) else 0
+
+    def _count_answers(self, command: ChangeRecords) -> int:
+        grant = self.draft.find_grant(command.token_hash)
+        if command.admin or grant is None:
+            return MAX_KEPT_ADMIN
+        return count_kept(self._find_rate(grant.business))
+
+    def _name_actor(self, command: ChangeRecords) -> str:
+        grant = self.draft.find_grant(command.token_hash)
+        return f"grant {grant.name}" if grant and not command.admin else "admin"
+
+    def _refuse_all(self, command: ChangeRecords, error: str) -> ChangeOutcome:
+        results = tuple(
+            ChangeResult(change.name, 0, error) for change in command.changes
+        )
+        return ChangeOutcome(results, self.revision)
 
     def _count_targets(self, business: str, service: str) -> int:
         return len(self.targets.get((business, service), ()))
--- /dev/null
+++ b/tests/coordination/records/test_store_properties.py
@@ -0,0 +1,131 @@
+"""Compare the record store with a plain model under random histories."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ibisshunt.coordination.records.snapshot import read_snapshot, take_snapshot
+from ibisshunt.coordination.records.store import RecordStore
+
+from .factory import Driver, announce, business, change, delete, service
+
+NAMES = st.sampled_from(["booking", "docs", "passes"])
+SLOTS = st.integers(1, 3)
+AGE = st.integers(0, 2)
+
+
+class RecordHistory(RuleBasedStateMachine):
+    """Write, race, resend, compact; a replica replays or restores on its own."""
+
+    def __init__(self):
+        super().__init__()
+        self.driver = Driver()
+        self.replica = RecordStore()
+        self.sent = []
+        self.model = {}
+        self.numbers = set()
+        self.incarnations = set()
+        self.apply(change(business("marea"), operation="setup"))
+
+    def apply(self, command):
+        outcome = self.driver.apply(command)
+        assert self.replica.apply(self.driver.index, command) == outcome
+        return outcome
+
+    def write(self, document, name, body, expected):
+        command = change(document, operation=f"o{len(self.sent)}")
+        held = self.model.get(name, (0, None))
+        outcome = self.apply(command)
+        self.sent.append((command, outcome))
+        error = outcome.results[0].error
+        if expected is not None and expected != held[0]:
+            assert "expected" in error
+        elif body is None and held[1] is None:
+            assert "does not exist" in error
+        elif body is None and self.has_targets(name):
+            assert "targets" in error
+        else:
+            assert error == ""
+            self.note(name, body, held)
+
+    def note(self, name, body, held):
+        if body is None:
+            del self.model[name]
+        elif body != held[1]:
+            self.model[name] = (self.driver.index, body)
+
+    def has_targets(self, name):
+        return bool(self.driver.store.targets.get(("marea", name)))
+
+    def pick_expected(self, name, age):
+        """Return none, the revision now, or one that may be out of date."""
+        held = self.model.get(name, (0, None))[0]
+        return (None, held, max(0, held - 1))[age]
+
+    @rule(name=NAMES, slots=SLOTS, age=AGE)
+    def put(self, name, slots, age):
+        expected = self.pick_expected(name, age)
+        keys = {} if expected is None else {"expected_revision": expected}
+        port = 80 + len(name)
+        document = service("marea", name, port, slots=slots, **keys)
+        self.write(document, name, slots, expected)
+
+    @rule(name=NAMES, age=AGE)
+    def remove(self, name, age):
+        expected = self.pick_expected(name, age)
+        keys = {} if expected is None else {"expected_revision": expected}
+        self.write(delete("service", "marea", name, **keys), name, None, expected)
+
+    @rule(data=st.data())
+    def resend(self, data):
+        if not self.sent:
+            return
+        command, outcome = data.draw(st.sampled_from(self.sent))
+        before = take_snapshot(self.driver.store)
+        assert self.apply(command) == outcome
+        assert take_snapshot(self.driver.store) == before
+
+    @rule(name=NAMES, session=st.sampled_from("abc"), leaving=st.booleans())
+    def announce(self, name, session, leaving):
+        outcome = self.apply(announce(leaving, session=session, service=name))
+        self.incarnations.add((outcome.incarnation, name, session))
+
+    @rule()
+    def compact(self):
+        self.driver.store = read_snapshot(take_snapshot(self.driver.store)).unwrap()
+
+    @invariant()
+    def records_match_the_model(self):
+        found = {
+            stored.record.name: (stored.record.revision, stored.record.body.slots)
+            for stored in self.driver.store.list_records("marea")
+            if stored.record.name != "marea"
+        }
+        assert found == self.model
+
+    @invariant()
+    def both_hosts_agree(self):
+        assert take_snapshot(self.replica) == take_snapshot(self.driver.store)
+        assert self.replica.configuration == self.driver.store.configuration
+
+    @invariant()
+    def numbers_are_not_used_twice(self):
+        self.numbers |= {
+            (found.number, found.service.name, self.find_birth(found))
+            for found in self.driver.store.slices.values()
+        }
+        assert len({number for number, _, _ in self.numbers}) == len(self.numbers)
+        given = {number for number, _, _ in self.incarnations if number}
+        assert len(given) == sum(1 for found in self.incarnations if found[0])
+
+    def find_birth(self, found):
+        """Return a mark that changes when the service is deleted and made anew."""
+        return sum(
+            1
+            for command, outcome in self.sent
+            if not outcome.results[0].error
+            and command.changes[0].name == found.service.name
+            and not command.changes[0].body
+        )
+
+
+TestRecordHistory = RecordHistory.TestCase
