--- a/ibisshunt/coordination/records/store.py
+++ b/ibisshunt/coordination/records/store.py
@@ -156,7 +156,8 @@
         return ChangeOutcome(results, self.revision)
 
     def _count_targets(self, business: str, service: str) -> int:
-        return len(self.targets.get((business, service), ()))
+        targets = self.targets.get((business, service), ())
+        return sum(1 for target in targets if target.state != TargetState.GONE)
 
     def _find_touched(
         self, draft: Draft, changes: tuple[RecordChange, ...]
