Keep leases, serve only with a fresh quorum, gather status from all hosts

An agent that comes back beside a living target keeps its incarnation: leaving was final for a session before, but a session names the target, so an agent that restarted stayed out for good. The test of the delayed announcement moved to the leases, where the same failure is held off for the timeout of a call.

TLS by settings; HISTORY in protocol/records.py; StatusReply.unreachable.

--- a/ibisshunt/components/control/__init__.py
+++ b/ibisshunt/components/control/__init__.py
@@ -1,20 +1,63 @@
 """Keep the records and tell every node of them."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from ...core import Kernel
-from ...helpers.logging import log_event
+from ...helpers.logging import log_event, warn_event
+from ...helpers.tls import make_server_credentials
+from ...model.address import Address
 from ...protocol.messages import ANNOUNCE, APPLY, LIST, REPORT, STATUS, WATCH
+from ...protocol.records import HISTORY
 from ...protocol.rpc import Server
 from ...settings import ControlSettings
+from .host import Host
+from .leases import LeaseHandler
 from .log import Journal, Log, StateMachine
-from .server import ControlServer
+from .records import RecordHandler
+from .reports import ReportHandler
 from .state import ControlState
+from .watches import WatchHandler
 
 OpenLog = Callable[[ControlSettings, StateMachine], Log]
 
 
+@dataclass(frozen=True, slots=True)
+class Control:
+    """Hold the parts of one control host; ``address`` is where it serves."""
+
+    address: Address
+    host: Host
+    leases: LeaseHandler
+    watches: WatchHandler
+    reports: ReportHandler
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        store = self.host.state.store
+        return {
+            "leader": self.host.log.leader(),
+            "revision": store.revision,
+            "records": len(store.draft.records),
+            "targets": [
+                {
+                    "service": f"{target.announcement.business}"
+                    f"/{target.announcement.service}",
+                    "name": target.name,
+                    "incarnation": target.incarnation,
+                    "state": self.leases.describe(target),
+                }
+                for target in store.list_targets()
+            ],
+            "streams": self.watches.streams,
+            "nodes": {
+                node: found.revision for node, found in self.reports.reports.items()
+            },
+        }
+
+
 def open_journal(settings: ControlSettings, machine: StateMachine) -> Log:
     """Open the log of a control host that has no peers."""
     return Journal(settings.name, Path(settings.data_folder), machine)
@@ -22,28 +65,37 @@
 
 def setup(
     kernel: Kernel, settings: ControlSettings, open_log: OpenLog = open_journal
-) -> ControlServer:
+) -> Control:
     """Start a control host; register it as "control" and return it."""
+    if not settings.admin_token_hash:
+        warn_event("control_open", reason="no admin_token_hash: anyone may change all")
     state = ControlState()
-    log = open_log(settings, state.as_machine())
-    control = ControlServer(settings, state, log)
-    server = Server(
-        settings.rpc,
-        {
-            APPLY: control.apply,
-            LIST: control.list_records,
-            WATCH: control.watch,
-            ANNOUNCE: control.announce,
-            REPORT: control.report,
-            STATUS: control.tell_status,
-        },
+    host = Host(settings, state, open_log(settings, state.as_machine()))
+    records, watches, leases = (
+        RecordHandler(host),
+        WatchHandler(host),
+        LeaseHandler(host),
     )
-    control.address = server.address
+    reports = ReportHandler(host, leases)
+    handlers = {
+        APPLY: records.apply,
+        LIST: records.list_records,
+        HISTORY: records.list_history,
+        WATCH: watches.watch,
+        ANNOUNCE: leases.announce,
+        REPORT: reports.report,
+        STATUS: reports.tell_status,
+    }
+    credentials = make_server_credentials(settings.tls)
+    server = Server(settings.rpc, handlers, credentials=credentials)
+    control = Control(server.address, host, leases, watches, reports)
+    task = kernel.spawn("leases", leases.run)
 
     def unload() -> None:
-        control.stop()
+        task.kill()
+        watches.stop()
         server.stop()
-        log.stop()
+        host.log.stop()
 
     server.start()
     log_event("control_started", name=settings.name, rpc=server.address)
--- a/ibisshunt/components/control/state.py
+++ b/ibisshunt/components/control/state.py
@@ -40,7 +40,7 @@
         outcome: ChangeOutcome | TargetOutcome = self.store.apply(index, found.unwrap())
         if self.store.revision != before:
             self.sender.advance(self.store.configuration)
-            self._wake()
+            self.wake()
         return encode(outcome)
 
     def take_snapshot(self) -> bytes:
@@ -54,13 +54,14 @@
             raise StorageError(Fault("restore snapshot", "", fault.reason))
         self.store = found.unwrap()
         self.sender.restart(self.store.configuration)
-        self._wake()
+        self.wake()
 
     def wait_beyond(self, revision: int, timeout: float) -> None:
         """Return when there is a newer revision, or after ``timeout`` seconds."""
         if self.store.revision <= revision:
             self._changed.wait(timeout)
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let all who wait look again."""
         changed, self._changed = self._changed, Event()
         changed.set()
--- a/ibisshunt/coordination/membership/leases.py
+++ b/ibisshunt/coordination/membership/leases.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from ...const import HEARTBEAT_SECONDS, LEASE_SECONDS
+from ...const import HEARTBEAT_SECONDS, LEASE_SECONDS, RPC_TIMEOUT_SECONDS
 from ...model.target import Announcement, Target, TargetState
 from ..records.commands import TargetChange
 from .damping import Flaps, note_change
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         self.leases: dict[int, Lease] = {}
         self._flips: dict[int, Flaps] = {}
+        self._leaving: dict[int, float] = {}
         self._restarts: dict[NameKey, Flaps] = {}
         self._last_sweep: float | None = None
 
@@ -61,6 +62,9 @@
         self.track(targets, now)
         self._extend(SEARCH_SECONDS)
         self._last_sweep = now
+        for lease in self.leases.values():
+            if lease.target.state == TargetState.LEAVING:
+                self.note_leaving(lease.target.incarnation, now)
 
     def track(self, targets: Iterable[Target], now: float) -> None:
         """Take over the targets of the store; new ones get a fresh lease."""
@@ -75,6 +79,7 @@
             )
         for incarnation in before.keys() - self.leases.keys():
             self._flips.pop(incarnation, None)
+            self._leaving.pop(incarnation, None)
 
     def renew(self, incarnation: int, flows: int, now: float) -> None:
         """Note that a target announced itself and how many flows it holds."""
@@ -88,10 +93,24 @@
 
         ``known`` is its incarnation, or 0 for a process that was not seen before.
         """
-        flaps = self._flips.get(known) if known else None
-        if not known:
-            flaps = self._restarts.get(_name_key(announced))
-        return max(0.0, flaps.hold_deadline - now) if flaps else 0.0
+        flaps = (
+            self._flips.get(known)
+            if known
+            else self._restarts.get(_name_key(announced))
+        )
+        deadline = max(
+            flaps.hold_deadline if flaps else now, self._leaving.get(known, now)
+        )
+        return max(0.0, deadline - now)
+
+    def note_leaving(self, incarnation: int, now: float) -> None:
+        """Note that a target said it leaves.
+
+        An announcement from before may still be on its way: taken as a return it
+        would send new work to a target that is about to go. No call is older than
+        its timeout.
+        """
+        self._leaving[incarnation] = now + RPC_TIMEOUT_SECONDS
 
     def note_restart(self, announced: Announcement, now: float) -> None:
         """Note that a new process of a target was admitted."""
--- a/ibisshunt/coordination/records/snapshot.py
+++ b/ibisshunt/coordination/records/snapshot.py
@@ -51,7 +51,7 @@
         next_service=store.draft.next_service,
         next_incarnation=store.next_incarnation,
         records=tuple(_pack(stored) for stored in store.draft.records.values()),
-        targets=tuple(target for found in store.targets.values() for target in found),
+        targets=store.list_targets(),
         slices=tuple(store.slices.values()),
         deadlines=dict(store.deadlines),
         answers=store.answers.list_answers(),
--- a/ibisshunt/coordination/records/store.py
+++ b/ibisshunt/coordination/records/store.py
@@ -55,6 +55,10 @@
         keys = sorted(key for key in self.draft.records if business in ("", key[1]))
         return tuple(self.draft.records[key] for key in keys)
 
+    def list_targets(self) -> tuple[Target, ...]:
+        """Return all targets; their state leaves drains out."""
+        return tuple(target for found in self.targets.values() for target in found)
+
     def apply(self, index: int, command: Command) -> ChangeOutcome | TargetOutcome:
         """Apply the command at this position of the log and return its outcome."""
         if isinstance(command, ChangeRecords):
--- a/ibisshunt/coordination/records/targets.py
+++ b/ibisshunt/coordination/records/targets.py
@@ -51,10 +51,7 @@
 def _renew(
     targets: tuple[Target, ...], known: Target, command: AnnounceTarget
 ) -> Admission:
-    # Leaving is final for a session: a delayed announcement from before the stop
-    # would send new work to a target that is about to go.
-    leaving = command.leaving or known.state == TargetState.LEAVING
-    state = TargetState.LEAVING if leaving else TargetState.READY
+    state = TargetState.LEAVING if command.leaving else TargetState.READY
     renewed = replace(known, announcement=command.announcement, state=state)
     after = tuple(renewed if old is known else old for old in targets)
     return Admission(after, renewed)
--- a/ibisshunt/protocol/messages.py
+++ b/ibisshunt/protocol/messages.py
@@ -112,7 +112,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusRequest:
-    """Ask for the state of the whole system."""
+    """Ask for the state of the whole system, or what the one host knows itself."""
+
+    local: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,13 +140,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReply:
-    """Tell the state of the whole system at one revision."""
+    """Tell the state of the whole system at one revision.
+
+    ``unreachable`` names the control hosts that did not answer: nodes that report to
+    them may be missing.
+    """
 
     revision: int
     leader: str
     services: tuple[str, ...]
     targets: tuple[TargetStatus, ...]
     nodes: tuple[NodeStatus, ...]
+    unreachable: tuple[str, ...] = ()
 
 
 APPLY = Method("Apply", ApplyRequest, ApplyReply)
--- /dev/null
+++ b/tests/components/control/fakes.py
@@ -0,0 +1,52 @@
+"""Stand in for the log and for a gRPC call."""
+
+import grpc
+from returns.result import Failure, Success
+
+from ibisshunt.exceptions import Fault
+
+
+class Aborted(Exception):
+    """Carry the code and text with which a handler ended a call."""
+
+
+class FakeContext:
+    def __init__(self, active=1_000):
+        self.left = active
+
+    def is_active(self):
+        self.left -= 1
+        return self.left >= 0
+
+    def abort(self, code: grpc.StatusCode, text):
+        raise Aborted(code, text)
+
+
+class FakeLog:
+    """Apply commands at once; a test cuts it off or takes the lead away."""
+
+    def __init__(self, name, machine):
+        self.name = name
+        self.machine = machine
+        self.index = 0
+        self.leading = name
+        self.connected = True
+        self.commands = []
+
+    def propose(self, command, timeout):
+        if not self.connected or self.leading != self.name:
+            return Failure(Fault("propose", "", "not accepted"))
+        self.index += 1
+        self.commands.append(command)
+        return Success(self.machine.apply(self.index, command))
+
+    def read_barrier(self, timeout):
+        if not self.connected:
+            return Failure(Fault("read barrier", "", "no quorum in time"))
+        return Success(self.index)
+
+    def leader(self):
+        return self.leading
+
+    def stop(self):
+        pass
--- /dev/null
+++ b/tests/components/control/test_handlers.py
@@ -0,0 +1,171 @@
+import json
+from itertools import islice
+
+import gevent
+import pytest
+
+from ibisshunt.components.control import watches as watches_module
+from ibisshunt.components.control.host import Host, hash_token
+from ibisshunt.components.control.leases import LeaseHandler
+from ibisshunt.components.control.records import RecordHandler
+from ibisshunt.components.control.reports import merge_status
+from ibisshunt.components.control.state import ControlState
+from ibisshunt.components.control.watches import WatchHandler
+from ibisshunt.coordination.distribution.receiver import Received, Verdict, receive
+from ibisshunt.exceptions import Fault
+from ibisshunt.model.address import Address
+from ibisshunt.protocol.leader import find_leader
+from ibisshunt.protocol.messages import (
+    AnnounceRequest,
+    ApplyRequest,
+    NodeStatus,
+    StatusReply,
+    WatchRequest,
+)
+from ibisshunt.settings import ControlSettings
+
+from .fakes import Aborted, FakeContext, FakeLog
+from .test_server import ANNOUNCEMENT, BUSINESS, LOOPBACK, SERVICE
+
+PEERS = {"c1": Address("127.0.0.1", 7001), "c2": Address("127.0.0.1", 7002)}
+
+
+class Control:
+    """Hold the handlers of one host over a fake log."""
+
+    def __init__(self, name="c1", **keys):
+        settings = ControlSettings(name, "d", PEERS[name], LOOPBACK, "", PEERS, **keys)
+        self.state = ControlState()
+        self.log = FakeLog(name, self.state.as_machine())
+        self.host = Host(settings, self.state, self.log)
+        self.records = RecordHandler(self.host)
+        self.watches = WatchHandler(self.host)
+        self.leases = LeaseHandler(self.host)
+
+    def apply(self, *documents, operation="o", token=""):
+        request = ApplyRequest(operation, documents, token)
+        reply = self.records.apply(request, FakeContext())
+        return [found.error for found in reply.outcomes]
+
+    def watch(self, since=0, active=1_000):
+        request = WatchRequest("b1", since)
+        return self.watches.watch(request, FakeContext(active))
+
+    def announce(self, leaving=False):
+        request = AnnounceRequest(ANNOUNCEMENT, leaving)
+        return self.leases.announce(request, FakeContext())
+
+
+def test_a_fresh_node_gets_nothing_from_a_host_behind_a_partition():
+    # Hazard 11. A host was cut off before the service changed, and still answers.
+    # A balancer that has just started knows no revision to compare with: were it
+    # served, an older configuration would come into force. It must get an error, and
+    # the newest configuration from a host that has a quorum.
+    cut_off, majority = Control("c1"), Control("c2")
+    for control in (cut_off, majority):
+        control.apply(BUSINESS, SERVICE)
+    cut_off.log.connected = False
+    majority.apply(json.dumps({**json.loads(SERVICE), "slots": 9}), operation="p")
+    with pytest.raises(Aborted):
+        next(cut_off.watch())
+    update = next(majority.watch())
+    assert receive(Received(), update).verdict == Verdict.IN_FORCE
+    assert update.changed[0].service.slots == 9
+
+
+def test_a_stream_ends_when_its_host_loses_the_quorum(monkeypatch):
+    # A node watches a host that is then cut off. While heartbeats came it would stay
+    # there and miss every change: the host must fall silent and end the stream.
+    for name in ("HEARTBEAT_SECONDS", "LEASE_SECONDS"):
+        monkeypatch.setattr(watches_module, name, 0.01)
+    control = Control()
+    control.apply(BUSINESS, SERVICE)
+    updates = control.watch()
+    assert next(updates).revision == 1
+    assert next(updates).changed == ()
+    control.log.connected = False
+    with pytest.raises(Aborted, match="no quorum"):
+        list(islice(updates, 100))
+
+
+def test_a_stream_carries_each_change_once(monkeypatch):
+    control = Control()
+    control.apply(BUSINESS)
+    updates = control.watch(since=1)
+    assert next(updates).changed == ()
+    later = gevent.spawn(next, updates)
+    gevent.sleep(0)
+    control.apply(SERVICE, operation="p")
+    update = later.get()
+    assert (update.base, update.revision, len(update.changed)) == (1, 2, 1)
+
+
+def test_a_host_that_does_not_lead_names_the_leader():
+    control = Control("c1")
+    control.log.leading = "c2"
+    for call in (lambda: control.apply(BUSINESS), control.announce):
+        with pytest.raises(Aborted) as caught:
+            call()
+        fault = Fault("call", "", caught.value.args[1])
+        assert find_leader(fault) == PEERS["c2"]
+
+
+def test_a_resend_to_another_host_gets_the_first_answer():
+    # Hazard 12. The answer is lost and the leader changes. The operator sends again
+    # to a host that does not lead but has applied the entry: it can tell the answer.
+    control = Control()
+    assert control.apply(BUSINESS, operation="x") == [""]
+    control.log.leading = "c2"
+    assert control.apply(BUSINESS, operation="x") == [""]
+    assert control.log.index == 1
+
+
+def test_only_the_administrator_s_token_passes_for_it():
+    control = Control(admin_token_hash=hash_token("secret"))
+    assert "denied" in control.apply(BUSINESS)[0]
+    assert "denied" in control.apply(BUSINESS, token="wrong")[0]
+    assert control.log.index == 0
+    assert control.apply(BUSINESS, token="secret") == [""]
+
+
+def test_renewals_cost_no_write():
+    control = Control()
+    control.apply(BUSINESS, SERVICE)
+    first = control.announce()
+    written = control.log.index
+    for _ in range(10):
+        assert control.announce() == first
+    assert control.log.index == written
+    control.announce(leaving=True)
+    assert control.log.index == written + 1
+
+
+def test_a_new_leader_restarts_all_leases():
+    control = Control()
+    control.apply(BUSINESS, SERVICE)
+    control.announce()
+    (before,) = control.leases.book.leases.values()
+    control.log.leading = "c2"
+    control.leases._follow_store(before.deadline + 1_000)
+    control.log.leading = "c1"
+    control.leases._follow_store(before.deadline + 1_000)
+    (after,) = control.leases.book.leases.values()
+    assert after.deadline > before.deadline + 1_000
+
+
+def test_status_names_the_node_that_lags_and_the_host_that_is_silent():
+    # Hazard 18. One balancer reports to the leader, one to another host after it
+    # changed over, and lags; a third control host does not answer.
+    def reply(revision, *nodes):
+        return StatusReply(revision, "c2", (), (), nodes)
+
+    own = reply(7, NodeStatus("b1", "balancer", 7, 0.1), NodeStatus("b2", "x", 3, 90.0))
+    peer = reply(7, NodeStatus("b2", "balancer", 6, 0.2))
+    merged = merge_status(own, "c2", {"c2": peer, "c3": None})
+    lagging = [node.node for node in merged.nodes if node.revision < merged.revision]
+    assert lagging == ["b2"]
+    assert [(node.node, node.revision) for node in merged.nodes] == [
+        ("b1", 7),
+        ("b2", 6),
+    ]
+    assert merged.unreachable == ("c3",)
--- a/tests/coordination/membership/test_leases.py
+++ b/tests/coordination/membership/test_leases.py
@@ -131,6 +131,18 @@
     assert clock.states() == {3: READY, 4: READY}
 
 
+def test_a_delayed_announcement_does_not_undo_leaving():
+    # A target says that it leaves; an announcement that it sent before is still on
+    # its way and arrives later, perhaps at a new leader. Taken as a return it would
+    # bring new work to a target that is about to go. No call is older than 5 s.
+    book, target = LeaseBook(), make_target(1, TargetState.LEAVING)
+    book.restart([target], 10.0)
+    assert book.find_hold(target.announcement, 1, 14.9) > 0
+    book.note_leaving(1, 14.0)
+    assert book.find_hold(target.announcement, 1, 18.9) > 0
+    assert book.find_hold(target.announcement, 1, 19.0) == 0.0
+
+
 def test_a_flapping_target_is_held_back_longer_each_time():
     flaps, now, holds = Flaps(), 0.0, []
     for _ in range(9):
