--- a/ibisshunt/components/control/__init__.py
+++ b/ibisshunt/components/control/__init__.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from ...core import Kernel
 from ...helpers.logging import log_event, warn_event
@@ -21,6 +21,9 @@
 from .state import ControlState
 from .watches import WatchHandler
 
+# Each stream holds one worker, which is a greenlet.
+MAX_STREAMS: Final = 2_048
+
 OpenLog = Callable[[ControlSettings, StateMachine], Log]
 
 
@@ -87,7 +90,7 @@
         STATUS: reports.tell_status,
     }
     credentials = make_server_credentials(settings.tls)
-    server = Server(settings.rpc, handlers, credentials=credentials)
+    server = Server(settings.rpc, handlers, MAX_STREAMS, credentials)
     control = Control(server.address, host, leases, watches, reports)
     task = kernel.spawn("leases", leases.run)
 
--- a/ibisshunt/components/control/watches.py
+++ b/ibisshunt/components/control/watches.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 import grpc
+import msgspec
 
 from ...const import HEARTBEAT_SECONDS, LEASE_SECONDS, RPC_TIMEOUT_SECONDS
 from ...exceptions import Fault
 from ...model.configuration import ConfigurationUpdate
+from ...protocol.codec import encode
 from ...protocol.leader import name_leader
 from ...protocol.messages import WatchRequest
 from .host import Host
@@ -23,10 +25,11 @@
         self._stopping = False
         self._check_deadline = 0.0
         self._fresh_deadline = 0.0
+        # The update is held beside its bytes so that no other can get its id.
+        self._encoded: dict[int, tuple[ConfigurationUpdate, msgspec.Raw]] = {}
+        self._encoded_revision = 0
 
-    def watch(
-        self, request: WatchRequest, context: Any
-    ) -> Iterator[ConfigurationUpdate]:
+    def watch(self, request: WatchRequest, context: Any) -> Iterator[msgspec.Raw]:
         """Yield a snapshot or delta, then each change, and heartbeats between them."""
         # A host cut off from the others holds an old configuration without knowing.
         # A node with empty memory could not tell: only a fresh quorum may serve it.
@@ -43,20 +46,33 @@
         self._stopping = True
         self._host.state.wake()
 
-    def _follow(
-        self, request: WatchRequest, context: Any
-    ) -> Iterator[ConfigurationUpdate]:
+    def _follow(self, request: WatchRequest, context: Any) -> Iterator[msgspec.Raw]:
         state, services = self._host.state, frozenset(request.services)
         since = request.since
-        yield state.sender.make_update(since, services)
-        since = max(since, state.store.revision)
+        update = state.sender.make_update(since, services)
+        since = max(since, update.revision)
+        yield self._encode(update)
         while not self._stopping and context.is_active():
             state.wait_beyond(since, HEARTBEAT_SECONDS)
             if state.store.revision <= since and not self._is_fresh(context):
                 continue
             update = state.sender.make_update(since, services)
             since = max(since, update.revision)
-            yield update
+            yield self._encode(update)
+
+    def _encode(self, update: ConfigurationUpdate) -> msgspec.Raw:
+        """Return the update as it goes out, encoded once for all its receivers.
+
+        When many nodes come back together, each encoding of a whole configuration
+        would take as long as all other work for that node.
+        """
+        if update.revision != self._encoded_revision:
+            self._encoded.clear()
+            self._encoded_revision = update.revision
+        key = id(update)
+        if key not in self._encoded:
+            self._encoded[key] = (update, msgspec.Raw(encode(update)))
+        return self._encoded[key][1]
 
     def _is_fresh(self, context: Any) -> bool:
         """Tell whether a heartbeat may be sent; end the stream when it may not be.
--- a/tests/components/control/test_handlers.py
+++ b/tests/components/control/test_handlers.py
@@ -14,10 +14,12 @@
 from ibisshunt.coordination.distribution.receiver import Received, Verdict, receive
 from ibisshunt.exceptions import Fault
 from ibisshunt.model.address import Address
+from ibisshunt.protocol.codec import decode
 from ibisshunt.protocol.leader import find_leader
 from ibisshunt.protocol.messages import (
     AnnounceRequest,
     ApplyRequest,
+    ConfigurationUpdate,
     NodeStatus,
     StatusReply,
     WatchRequest,
@@ -49,7 +51,8 @@
 
     def watch(self, since=0, active=1_000):
         request = WatchRequest("b1", since)
-        return self.watches.watch(request, FakeContext(active))
+        for sent in self.watches.watch(request, FakeContext(active)):
+            yield decode(bytes(sent), ConfigurationUpdate).unwrap()
 
     def announce(self, leaving=False):
         request = AnnounceRequest(ANNOUNCEMENT, leaving)
