--- a/ibisshunt/components/control/state.py
+++ b/ibisshunt/components/control/state.py
@@ -8,6 +8,7 @@
     TargetOutcome,
     decode_command,
 )
+from ...coordination.records.snapshot import read_snapshot, take_snapshot
 from ...coordination.records.store import RecordStore
 from ...exceptions import Fault, StorageError
 from ...protocol.codec import encode
@@ -39,22 +40,28 @@
         outcome: ChangeOutcome | TargetOutcome = self.store.apply(index, found.unwrap())
         if self.store.revision != before:
             self.sender.advance(self.store.configuration)
-            self._wake()
+            self.wake()
         return encode(outcome)
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
-        raise NotImplementedError
+        return take_snapshot(self.store)
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state."""
-        raise NotImplementedError
+        found = read_snapshot(data)
+        if fault := found.swap().value_or(None):
+            raise StorageError(Fault("restore snapshot", "", fault.reason))
+        self.store = found.unwrap()
+        self.sender.restart(self.store.configuration)
+        self.wake()
 
     def wait_beyond(self, revision: int, timeout: float) -> None:
         """Return when there is a newer revision, or after ``timeout`` seconds."""
         if self.store.revision <= revision:
             self._changed.wait(timeout)
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let all who wait look again."""
         changed, self._changed = self._changed, Event()
         changed.set()
