--- a/ibisshunt/cli/__init__.py
+++ b/ibisshunt/cli/__init__.py
@@ -8,6 +8,6 @@
 
 monkey.patch_all()
 
-import grpc.experimental.gevent as grpc_gevent
+from ..helpers.runtime import prepare_grpc
 
-grpc_gevent.init_gevent()
+prepare_grpc()
--- a/ibisshunt/components/node/announcer.py
+++ b/ibisshunt/components/node/announcer.py
@@ -5,10 +5,10 @@
 from itertools import cycle
 from typing import Any
 
-import gevent
 import grpc
+from gevent.event import Event
 
-from ...const import HEARTBEAT_SECONDS
+from ...const import HEARTBEAT_SECONDS, RPC_TIMEOUT_SECONDS
 from ...core import Kernel
 from ...exceptions import RpcError
 from ...helpers.backoff import make_delays
@@ -34,21 +34,27 @@
         self.incarnation = 0
         self.leaving = False
         self.lease_deadline = 0.0
+        self._stopping = Event()
         self._kernel = kernel
         self._hosts = cycle(control)
         self._credentials = credentials
         self._channel = Channel(next(self._hosts), credentials)
 
     def run(self) -> None:
-        """Renew the lease for as long as the process runs."""
+        """Renew the lease until asked to stop."""
         delays = make_delays(random.random)
-        while True:
+        while not self._stopping.is_set():
             if self.announce():
                 delays = make_delays(random.random)
-                gevent.sleep(HEARTBEAT_SECONDS)
+                self._stopping.wait(HEARTBEAT_SECONDS)
                 continue
             self._change_host()
-            gevent.sleep(next(delays))
+            self._stopping.wait(next(delays))
+        self._channel.close()
+
+    def stop(self) -> None:
+        """End the announcements."""
+        self._stopping.set()
 
     def announce(self) -> bool:
         """Send the announcement once; return whether control took it."""
@@ -127,8 +133,8 @@
     task = kernel.spawn("announcer", announcer.run)
 
     def unload() -> None:
-        task.kill()
-        announcer.leave()
+        announcer.stop()
+        task.join(RPC_TIMEOUT_SECONDS)
 
     kernel.register(
         "announcement",
--- a/ibisshunt/components/node/watcher.py
+++ b/ibisshunt/components/node/watcher.py
@@ -9,6 +9,7 @@
 
 import gevent
 import grpc
+from gevent.event import Event
 
 from ...const import HEARTBEAT_SECONDS
 from ...coordination.distribution.receiver import (
@@ -24,13 +25,14 @@
 from ...model.address import Address
 from ...model.configuration import Configuration, ConfigurationUpdate
 from ...protocol.messages import REPORT, WATCH, ReportRequest, WatchRequest
-from ...protocol.rpc import Channel
+from ...protocol.rpc import Channel, Stream
 
 PULL_SECONDS: Final = 1.0
 # Control sends something at least once a heartbeat.
 SILENCE_SECONDS: Final = 3 * HEARTBEAT_SECONDS
 GUARD_INTERVAL_SECONDS: Final = 0.25
 REPORT_INTERVAL_SECONDS: Final = 0.1
+REPORT_TIMEOUT_SECONDS: Final = 2.0
 
 Subscriber = Callable[[Configuration], None]
 
@@ -106,38 +108,50 @@
         self.connected_to = ""
         self._since = 0
         self._silence_deadline = math.inf
+        self._stopping = Event()
+        self._stream: Stream | None = None
 
     def run(self) -> None:
-        """Follow one control host after another for as long as the process runs."""
+        """Follow one control host after another until asked to stop."""
         delays = make_delays(random.random)
         for address in self._hosts:
             before = self.configuration.current.revision
             self._follow(address)
             if self.configuration.current.revision > before:
                 delays = make_delays(random.random)
-            gevent.sleep(next(delays))
+            if self._stopping.wait(next(delays)):
+                return
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._stopping.set()
+        if self._stream is not None:
+            self._stream.cancel()
 
     def _follow(self, address: Address) -> None:
         channel = Channel(address, self._credentials)
+        request = WatchRequest(self._node, self._since, self._services)
+        self._stream = channel.stream(WATCH, request)
         self._silence_deadline = time.monotonic() + SILENCE_SECONDS
         self.configuration.note_new_host()
+        ended = Event()
         helpers = [
-            gevent.spawn(self._report, channel),
-            gevent.spawn(self._guard, channel),
+            gevent.spawn(self._report, channel, ended),
+            gevent.spawn(self._guard, address, self._stream, ended),
         ]
         try:
-            self._watch(channel)
+            self._watch(address, self._stream)
         except RpcError as error:
             warn_event("watch_lost", node=self._node, fault=error.fault)
-        finally:
-            self.connected_to = ""
-            gevent.killall(helpers)
-            channel.close()
-
-    def _watch(self, channel: Channel) -> None:
-        request = WatchRequest(self._node, self._since, self._services)
-        for update in channel.stream(WATCH, request):
-            self.connected_to = str(channel.address)
+        self.connected_to = ""
+        ended.set()
+        self._stream.cancel()
+        gevent.joinall(helpers)
+        channel.close()
+
+    def _watch(self, address: Address, stream: Stream) -> None:
+        for update in stream:
+            self.connected_to = str(address)
             self._silence_deadline = time.monotonic() + SILENCE_SECONDS
             reception = self.configuration.put_in_force(update)
             self._since = reception.since
@@ -153,36 +167,34 @@
             if reception.verdict != ReceptionVerdict.IN_FORCE:
                 return
 
-    def _guard(self, channel: Channel) -> None:
+    def _guard(self, address: Address, stream: Stream, ended: Event) -> None:
         """End a watch that brings nothing any more.
 
         A host that is frozen or cut off keeps the connection open; without this the
         node would keep its old configuration for as long as that lasts.
         """
-        while True:
-            gevent.sleep(GUARD_INTERVAL_SECONDS)
+        while not ended.wait(GUARD_INTERVAL_SECONDS):
             silent = time.monotonic() > self._silence_deadline
             if silent or self.configuration.is_stale():
-                peer = channel.address
-                warn_event("watch_ended", node=self._node, peer=peer, silent=silent)
-                channel.close()
+                warn_event("watch_ended", node=self._node, peer=address, silent=silent)
+                stream.cancel()
                 return
 
-    def _report(self, channel: Channel) -> None:
-        while True:
+    def _report(self, channel: Channel, ended: Event) -> None:
+        while not ended.is_set():
             revision = self.configuration.current.revision
             try:
                 request = ReportRequest(self._node, self._role, revision)
-                channel.call(REPORT, request)
-            except (RpcError, ValueError) as error:
-                # gRPC raises ValueError for a call on a channel that was closed.
-                warn_event("report_failed", node=self._node, reason=error)
-            self._wait_for_change(revision)
+                channel.call(REPORT, request, timeout=REPORT_TIMEOUT_SECONDS)
+            except RpcError as error:
+                warn_event("report_failed", node=self._node, fault=error.fault)
+            self._wait_for_change(revision, ended)
 
-    def _wait_for_change(self, revision: int) -> None:
+    def _wait_for_change(self, revision: int, ended: Event) -> None:
         deadline = time.monotonic() + HEARTBEAT_SECONDS
         while time.monotonic() < deadline:
-            gevent.sleep(REPORT_INTERVAL_SECONDS)
+            if ended.wait(REPORT_INTERVAL_SECONDS):
+                return
             if self.configuration.current.revision != revision:
                 return
 
@@ -209,10 +221,15 @@
     watcher = Watcher(node, role, control, services, credentials)
     configuration = watcher.configuration
     task = kernel.spawn("watcher", watcher.run)
+
+    def unload() -> None:
+        watcher.stop()
+        task.join(REPORT_TIMEOUT_SECONDS)
+
     kernel.register(
         "configuration",
         configuration,
-        unload=task.kill,
+        unload=unload,
         dump=watcher.dump,
         ready=lambda: configuration.current.revision > 0,
     )
--- /dev/null
+++ b/ibisshunt/helpers/runtime.py
@@ -0,0 +1,17 @@
+"""Make the standard library and gRPC cooperate with gevent."""
+
+from typing import Final
+
+import gevent
+import grpc.experimental.gevent as grpc_gevent
+
+# gRPC polls each busy connection from one thread of the hub's pool. With gevent's
+# default of 10 threads the eleventh connection of a process stops all of them: every
+# call ends with DEADLINE_EXCEEDED. Threads are made only as they are needed.
+POLL_THREADS: Final = 2_000
+
+
+def prepare_grpc() -> None:
+    """Let gRPC run under gevent; call once, after the standard library is patched."""
+    grpc_gevent.init_gevent()
+    gevent.get_hub().threadpool.maxsize = POLL_THREADS
--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -78,23 +78,22 @@
         method: Method,
         request: Any,
         metadata: tuple[tuple[str, str], ...] = (),
-    ) -> Iterator[Any]:
-        """Yield replies until the stream ends; raise RpcError when it breaks."""
+    ) -> "Stream":
+        """Start a stream of replies."""
         invoke = self._channel.unary_stream(
             method.path,
             request_serializer=encode,
             response_deserializer=_make_decoder(method.reply),
         )
         replies = invoke(request, metadata=metadata)
-        try:
-            yield from replies
-        except grpc.RpcError as error:
-            raise self._explain(method, error) from error
-        finally:
-            replies.cancel()
+        return Stream(replies, lambda error: self._explain(method, error))
 
     def close(self) -> None:
-        """Close the connection; calls in progress fail."""
+        """Close the connection; calls in progress fail.
+
+        Only the task that owns the connection may close it, and no task that waits
+        in a call may be killed: either leaves gRPC waiting for itself for ever.
+        """
         self._channel.close()
 
     def _explain(self, method: Method, error: grpc.RpcError) -> RpcError:
@@ -104,6 +103,27 @@
         return RpcError(Fault(f"call {method.name}", str(self.address), reason))
 
 
+class Stream:
+    """Yield the replies of one streaming call."""
+
+    def __init__(
+        self, replies: Any, explain: Callable[[grpc.RpcError], RpcError]
+    ) -> None:
+        self._replies = replies
+        self._explain = explain
+
+    def __iter__(self) -> Iterator[Any]:
+        """Yield replies until the stream ends; raise RpcError when it breaks."""
+        try:
+            yield from self._replies
+        except grpc.RpcError as error:
+            raise self._explain(error) from error
+
+    def cancel(self) -> None:
+        """End the stream; whoever waits for its next reply gets an RpcError."""
+        self._replies.cancel()
+
+
 class Server:
     """Serve methods at one address."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,14 +2,14 @@
 
 monkey.patch_all()
 
-import grpc.experimental.gevent as grpc_gevent
-
-grpc_gevent.init_gevent()
-
 import os
 
 from hypothesis import HealthCheck, settings
 
+from ibisshunt.helpers.runtime import prepare_grpc
+
+prepare_grpc()
+
 # CI must reach the same verdict every time: fixed examples, no time limits.
 settings.register_profile(
     "ci",
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -116,7 +116,7 @@
 
     def list_records(self):
         records = [
-            {"kind": "business", "schema": 1, "business": name, "name": name}
+            {"kind": "business", "schema": 1, "name": name}
             for name in sorted(set(SERVICES.values()))
         ]
         records += [
