Let a restarted agent recall its flows from its peers

A pointer back to an agent that had seen the packet was no proof either. Change: an agent that stops tells two peers for each flow; one that starts asks all peers and drops unknown packets for 0.4 s until they have answered.

--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -160,6 +160,8 @@
         while True:
             self._update_table()
             now = time.monotonic()
+            self._owner.recall(now)
+            self._send_notices()
             if now >= report_deadline:
                 report_deadline = now + REPORT_INTERVAL_SECONDS
                 self._report(now)
@@ -195,6 +197,7 @@
             gevent.sleep(0)
         self._owner.update(table, incarnation, time.monotonic())
         self._revision = table.revision
+        self._send_notices()
         self._hand_over(everything=False)
         log_event("flow_table", service=table.number, revision=table.revision)
 
--- /dev/null
+++ b/ibisshunt/coordination/flows/handover.py
@@ -0,0 +1,153 @@
+"""Tell other agents who owns which flows, and ask them after a restart."""
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ...protocol.datagram import (
+    MAX_KEYS,
+    DatagramKind,
+    Header,
+    PointerList,
+    pack_pointers,
+    pack_recall,
+    read_load,
+    read_pointers,
+    read_recall,
+)
+from .ranking import find_bucket
+from .state import OwnerState
+from .store import Owner
+
+# Peers that hear of each flow before a planned stop: one of them may be lost.
+COPIES: Final = 2
+
+
+def hand_over(state: OwnerState, everything: bool) -> Iterator[int]:
+    """Tell peers about the flows owned here; yield after each part."""
+    if state.table is None or state.own is None:
+        return
+    keys = state.flows.list_keys()
+    for start in range(0, len(keys), MAX_KEYS):
+        part = keys[start : start + MAX_KEYS]
+        _hand_over_part(state, part, everything)
+        yield len(part)
+
+
+def _hand_over_part(state: OwnerState, keys: list[bytes], everything: bool) -> None:
+    lists: dict[int, list[bytes]] = {}
+    for key in keys:
+        for incarnation in _list_peers(state, key, everything):
+            lists.setdefault(incarnation, []).append(key)
+    for incarnation, told in lists.items():
+        state.tell(state.table.by_incarnation[incarnation], told)
+
+
+def _list_peers(state: OwnerState, key: bytes, everything: bool) -> list[int]:
+    """Return whom to tell: who is asked first, or two peers before a stop."""
+    bucket = find_bucket(key)
+    if not everything:
+        first = state.table.name_first(bucket)
+        return [] if first in (0, state.incarnation) else [first]
+    chain = state.table.find_chain(bucket)
+    peers = [one.incarnation for one in chain if one.incarnation != state.incarnation]
+    return peers[:COPIES]
+
+
+def ask_for_flows(state: OwnerState) -> None:
+    """Ask all peers for the flows that a former agent of this target owned."""
+    for peer in state.table.targets:
+        if peer.incarnation != state.incarnation:
+            state.send(
+                peer,
+                pack_recall(_make_return_head(state, peer.incarnation), state.identity),
+            )
+
+
+def _make_return_head(state: OwnerState, incarnation: int) -> Header:
+    pair = state.own.announcement.packets.as_pair()
+    number, revision = state.table.number, state.table.revision
+    return Header(
+        DatagramKind.RECALL, 0, number, revision, incarnation, state.incarnation, pair
+    )
+
+
+def receive_notice(
+    state: OwnerState, header: Header, payload: bytes, now: float
+) -> str:
+    """Take a notice of another agent; return why not, or an empty string."""
+    if state.table is None:
+        return "not_ready"
+    if header.service != state.table.number:
+        return "wrong_service"
+    receive = _RECEIVERS.get(header.kind)
+    if receive is None:
+        return "unknown_kind"
+    # A notice of a newer revision shows that this agent is stale.
+    state.wanted_revision = max(state.wanted_revision, header.revision)
+    return receive(state, header, payload, now)
+
+
+def _receive_revision(
+    state: OwnerState, header: Header, payload: bytes, now: float
+) -> str:
+    return ""
+
+
+def _receive_load(state: OwnerState, header: Header, payload: bytes, now: float) -> str:
+    load = read_load(payload).value_or(None)
+    if load is None:
+        return "malformed"
+    state.loads.note(header.origin, load, now)
+    return ""
+
+
+def _receive_pointers(
+    state: OwnerState, header: Header, payload: bytes, now: float
+) -> str:
+    found = read_pointers(header, payload).value_or(None)
+    if found is None:
+        return "malformed"
+    if found.identity == state.identity:
+        return _receive_recalled(state, found, now)
+    owner = Owner(found.owner, found.identity, found.pair, header.revision)
+    for key in found.keys:
+        # A flow of this agent's own stays its own: the peer's entry is of an older
+        # flow on the same ports.
+        if key not in state.flows:
+            state.pointers.add(key, owner, now + state.idle)
+    return ""
+
+
+def _receive_recalled(state: OwnerState, found: PointerList, now: float) -> str:
+    """Own the flows again that a former agent of this target owned."""
+    if not state.is_recalling(now):
+        return "recall_late"
+    for key in found.keys:
+        if key not in state.flows and state.flows.has_room():
+            state.flows.touch(key, 0, now, state.idle)
+    return ""
+
+
+def _answer_recall(
+    state: OwnerState, header: Header, payload: bytes, now: float
+) -> str:
+    identity = read_recall(payload).value_or(None)
+    if identity is None:
+        return "malformed"
+    keys = state.pointers.list_keys(identity)
+    number, revision = state.table.number, state.table.revision
+    head = Header(DatagramKind.POINTER, 0, number, revision, header.origin)
+    for start in range(0, len(keys), MAX_KEYS):
+        part = tuple(keys[start : start + MAX_KEYS])
+        pointers = PointerList(header.origin, identity, header.reply_to, part)
+        state.send_to(header.reply_to, pack_pointers(head, pointers))
+    return ""
+
+
+Receiver = Callable[[OwnerState, Header, bytes, float], str]
+_RECEIVERS: Final[dict[int, Receiver]] = {
+    DatagramKind.POINTER: _receive_pointers,
+    DatagramKind.LOAD: _receive_load,
+    DatagramKind.REVISION: _receive_revision,
+    DatagramKind.RECALL: _answer_recall,
+}
--- a/ibisshunt/coordination/flows/owner.py
+++ b/ibisshunt/coordination/flows/owner.py
@@ -1,26 +1,21 @@
 """Decide what an agent does with each packet: deliver, forward, reset or drop."""
 
 from collections.abc import Iterator
+from typing import Final
 
-from ...protocol.datagram import (
-    BY_POINTER,
-    KNOWN_ONLY,
-    MAX_KEYS,
-    DatagramKind,
-    Header,
-    read_load,
-    read_pointers,
-)
+from ...protocol.datagram import BY_POINTER, KNOWN_ONLY, Header
 from ...protocol.packet import ICMP_ERROR, OPENS, TCP
 from .actions import DELIVER, Action, Notice
+from .handover import ask_for_flows, hand_over, receive_notice
 from .loads import tell_load
 from .openings import open_flow
-from .ranking import find_bucket
 from .state import Arrival, OwnerState, drop
-from .store import Owner
 from .strays import find_owner, follow_pointer
 from .table import ServiceTable
 
+# After its start an agent waits this long for its peers to name its flows.
+RECALL_SECONDS: Final = 0.4
+
 
 class FlowOwner:
     """Own the flows of one target and find the owners of all others.
@@ -32,10 +27,16 @@
     def __init__(self, name: str, max_flows: int, now: float) -> None:
         self.state = OwnerState(name, max_flows, now)
         self._turn = 0
+        self._recalls = False
 
     def update(self, table: ServiceTable, incarnation: int, now: float) -> None:
         """Take a table and the agent's own incarnation into force."""
         self.state.update(table, incarnation, now)
+        if self._recalls or self.state.own is None:
+            return
+        self._recalls = True
+        self.state.recall_deadline = now + RECALL_SECONDS
+        self.recall(now)
 
     def set_leaving(self, leaving: bool) -> None:
         """Take no new flows from now on, whatever the table says."""
@@ -82,10 +83,10 @@
 
     def _handle_unknown(self, arrival: Arrival) -> Action:
         state, header = self.state, arrival.header
-        pointed = header.flags & BY_POINTER
-        if pointed and state.is_recovering(arrival.now) and not arrival.opens_tcp:
-            # A peer remembers that this target owns the flow, from before a restart.
-            return state.take(arrival)
+        if state.is_recalling(arrival.now) and not arrival.opens_tcp:
+            # The peers' answers may name the flow in a moment. Sent along the chain
+            # now, it could be adopted by another agent that has restarted as well.
+            return drop("recalling")
         action = follow_pointer(state, arrival)
         if action is not None:
             return action
@@ -96,64 +97,21 @@
 
     def receive(self, header: Header, payload: bytes, now: float) -> str:
         """Take a notice of another agent; return why not, or an empty string."""
-        state = self.state
-        if state.table is None or header.service != state.table.number:
-            return "wrong_service"
-        if header.kind == DatagramKind.REVISION:
-            state.wanted_revision = max(state.wanted_revision, header.revision)
-            return ""
-        if header.kind == DatagramKind.POINTER:
-            return self._receive_pointers(header, payload, now)
-        if header.kind != DatagramKind.LOAD:
-            return "unknown_kind"
-        load = read_load(payload).value_or(None)
-        if load is None:
-            return "malformed"
-        state.loads.note(header.origin, load, now)
-        return ""
-
-    def _receive_pointers(self, header: Header, payload: bytes, now: float) -> str:
-        state = self.state
-        found = read_pointers(header, payload).value_or(None)
-        if found is None:
-            return "malformed"
-        state.wanted_revision = max(state.wanted_revision, header.revision)
-        owner = Owner(found.owner, found.identity, found.pair, header.revision)
-        for key in found.keys:
-            # A flow of this agent's own stays its own: the peer's entry is of an older
-            # flow on the same ports.
-            if key not in state.flows:
-                state.pointers.add(key, owner, now + state.idle)
-        return ""
+        return receive_notice(self.state, header, payload, now)
 
     def hand_over(self, everything: bool) -> Iterator[int]:
         """Tell other agents which flows this one owns; yield after each part.
 
         After a change of table those that are now asked first hear of the flows that
         stay here. Before a planned stop ``everything`` goes to two peers for each
-        flow: they lead the flows back to this target's next agent.
+        flow: the next agent of this target recalls it from them.
         """
-        state = self.state
-        if state.table is None or state.own is None:
-            return
-        keys = state.flows.list_keys()
-        for start in range(0, len(keys), MAX_KEYS):
-            part = keys[start : start + MAX_KEYS]
-            self._hand_over_part(part, 2 if everything else 1, everything)
-            yield len(part)
+        yield from hand_over(self.state, everything)
 
-    def _hand_over_part(self, keys: list[bytes], copies: int, everything: bool) -> None:
-        state = self.state
-        lists: dict[int, list[bytes]] = {}
-        for key in keys:
-            chain = state.table.find_chain(find_bucket(key))
-            if not everything:
-                chain = chain[:1]
-            peers = [one for one in chain if one.incarnation != state.incarnation]
-            for peer in peers[:copies]:
-                lists.setdefault(peer.incarnation, []).append(key)
-        for incarnation, told in lists.items():
-            state.tell(state.table.by_incarnation[incarnation], told)
+    def recall(self, now: float) -> None:
+        """Ask the peers again for the flows of a former agent of this target."""
+        if self.state.is_recalling(now):
+            ask_for_flows(self.state)
 
     def tell_load(self) -> None:
         """Tell some peers this agent's load; call it about once a second."""
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -60,6 +60,7 @@
         self.leaving = False
         self.incarnation = 0
         self.wanted_revision = 0
+        self.recall_deadline = 0.0
         self.table: ServiceTable | None = None
         self.idle = 0.0
         self.admit = make_caller_check(())
@@ -99,6 +100,10 @@
         """
         return now < self._started + self.idle
 
+    def is_recalling(self, now: float) -> bool:
+        """Tell whether the peers may still be naming flows of this target."""
+        return now < self.recall_deadline
+
     def has_moved(self, key: bytes, now: float) -> bool:
         """Tell whether older flows of the bucket may be owned elsewhere.
 
@@ -213,12 +218,16 @@
         return Header(DatagramKind.POINTER, 0, number, revision, target.incarnation)
 
     def send(self, target: Target, data: bytes) -> None:
+        """Put a notice for a target's agent into the outbox."""
+        self.send_to(target.announcement.packets.as_pair(), data)
+
+    def send_to(self, pair: tuple[str, int], data: bytes) -> None:
         """Put a notice into the outbox; a full outbox loses it.
 
         Notices save hops. Without them packets walk the chain.
         """
         if len(self.outbox) < MAX_OUTBOX:
-            self.outbox.append(Notice(target.announcement.packets.as_pair(), data))
+            self.outbox.append(Notice(pair, data))
 
 
 def drop(reason: str) -> Action:
--- a/ibisshunt/coordination/flows/store.py
+++ b/ibisshunt/coordination/flows/store.py
@@ -121,6 +121,19 @@
         state = self._states.get(key)
         return None if state is None else self._owners[state & _OWNER_MASK]
 
+    def list_keys(self, identity: int) -> list[bytes]:
+        """Return the keys of the flows that a target owns, by its number."""
+        wanted = {
+            index
+            for index, owner in enumerate(self._owners)
+            if owner.identity == identity
+        }
+        if not wanted:
+            return []
+        return [
+            key for key, state in self._states.items() if state & _OWNER_MASK in wanted
+        ]
+
     def add(self, key: bytes, owner: Owner, deadline: float) -> None:
         """Remember the owner until a deadline in seconds."""
         index = self._find_index(owner)
--- a/ibisshunt/coordination/flows/strays.py
+++ b/ibisshunt/coordination/flows/strays.py
@@ -25,10 +25,8 @@
         state.pointers.remove(key)
         return None
     pair, incarnation = found
-    # Two pointers may name each other. A packet goes back to an agent only when that
-    # agent asks for flows it lost at a restart.
-    seen = incarnation in header.visited and incarnation != header.origin
-    if seen or incarnation == state.incarnation:
+    # Two pointers may name each other: a packet never goes back by one.
+    if incarnation in header.visited or incarnation == state.incarnation:
         return None
     state.pointers.add(key, owner, arrival.now + state.idle)
     return state.forward(arrival, pair, incarnation, header.flags | BY_POINTER)
--- a/ibisshunt/protocol/datagram.py
+++ b/ibisshunt/protocol/datagram.py
@@ -29,6 +29,7 @@
 # owner's identity, number of keys
 _POINTER = struct.Struct("!QH")
 _LOAD = struct.Struct("!d")
+_IDENTITY = struct.Struct("!Q")
 
 HEADER_BYTES: Final = _HEADER.size
 # Keeps a datagram of keys below an Ethernet frame of 1500 bytes.
@@ -46,6 +47,7 @@
     POINTER = 2
     LOAD = 3
     REVISION = 4
+    RECALL = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,3 +158,16 @@
     if len(payload) != _LOAD.size:
         return Failure(Fault("read load", "", f"{len(payload)} bytes"))
     return Success(_LOAD.unpack(payload)[0])
+
+
+def pack_recall(header: Header, identity: int) -> bytes:
+    """Return a datagram that asks a peer for the flows it knows of a target."""
+    head = replace(header, kind=DatagramKind.RECALL)
+    return pack_header(head) + _IDENTITY.pack(identity)
+
+
+def read_recall(payload: bytes) -> Result[int, Fault]:
+    """Read the payload of a RECALL datagram."""
+    if len(payload) != _IDENTITY.size:
+        return Failure(Fault("read recall", "", f"{len(payload)} bytes"))
+    return Success(_IDENTITY.unpack(payload)[0])
