--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -43,7 +43,7 @@
         self._announcement: Any = kernel.find("announcement")
         self._metrics: Any = kernel.find("metrics")
         self._now = time.monotonic()
-        self._owner = FlowOwner(settings.target.name, settings.max_flows, self._now)
+        self._owner = FlowOwner(settings.max_flows, self._now)
         self._refusals = RefusalCounter("agent")
         self._socket = DatagramSocket(settings.packets)
         self._send = self._socket.send_to
@@ -160,6 +160,8 @@
         while True:
             self._update_table()
             now = time.monotonic()
+            self._owner.recall(now)
+            self._send_notices()
             if now >= report_deadline:
                 report_deadline = now + REPORT_INTERVAL_SECONDS
                 self._report(now)
@@ -195,6 +197,7 @@
             gevent.sleep(0)
         self._owner.update(table, incarnation, time.monotonic())
         self._revision = table.revision
+        self._send_notices()
         self._hand_over(everything=False)
         log_event("flow_table", service=table.number, revision=table.revision)
 
--- a/ibisshunt/coordination/flows/store.py
+++ b/ibisshunt/coordination/flows/store.py
@@ -95,7 +95,7 @@
     """Describe a target that owns flows, as a peer told it at a revision."""
 
     incarnation: int
-    identity: int
+    place: int
     pair: tuple[str, int]
     revision: int
 
@@ -121,6 +121,17 @@
         state = self._states.get(key)
         return None if state is None else self._owners[state & _OWNER_MASK]
 
+    def list_keys(self, place: int) -> list[bytes]:
+        """Return the keys of the flows that the target in a place owns."""
+        wanted = {
+            index for index, owner in enumerate(self._owners) if owner.place == place
+        }
+        if not wanted:
+            return []
+        return [
+            key for key, state in self._states.items() if state & _OWNER_MASK in wanted
+        ]
+
     def add(self, key: bytes, owner: Owner, deadline: float) -> None:
         """Remember the owner until a deadline in seconds."""
         index = self._find_index(owner)
