--- /dev/null
+++ b/ibisshunt/components/storage/__init__.py
@@ -0,0 +1,6 @@
+"""Keep the state of one host on disk: write-ahead log, snapshots, identity."""
+
+from .files import DiskFiles, Files
+from .store import Batch, Identity, Recovered, Store
+
+__all__ = ["Batch", "DiskFiles", "Files", "Identity", "Recovered", "Store"]
