--- a/ibisshunt/coordination/consensus/messages.py
+++ b/ibisshunt/coordination/consensus/messages.py
@@ -149,9 +149,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRequest:
-    """Ask the leader for an index from which a read is not stale."""
+    """Ask the leader for an index from which a read is not stale.
+
+    ``ticket`` must never be drawn twice by one host, also not after a restart: a
+    late reply to an old request would let a new read be stale.
+    """
 
-    term: int
     ticket: int
 
 
@@ -159,7 +162,6 @@
 class ReadReply:
     """Answer a read request; ``index`` is -1 when the sender cannot tell."""
 
-    term: int
     ticket: int
     index: int
 
