Offer the replicated log as a task: USABLE by control (see components/consensus)

Cause: the control component needs one log that all control hosts agree on. Change: a gevent task with gRPC exchange between hosts, group commit (one sync for all that waits), proposals from any host, read barrier, founding and joining by hello, hand-over of the lead on a planned stop, a reserve of disk space, state dump. Usage text in the docstring of components/consensus/__init__.py. Conclusion: control may plug its state machine in.

--- /dev/null
+++ b/ibisshunt/components/consensus/__init__.py
@@ -0,0 +1,62 @@
+"""Offer one log that all control hosts agree on.
+
+Usage, in the component that owns the state machine::
+
+    machine = StateMachine(apply=apply, take_snapshot=take, restore=restore)
+    log = setup(kernel, settings, machine)          # reads the data folder
+    server = Server(settings.rpc, {**own, **make_handlers(log)})
+    server.start()
+    log.start()                                     # after the handlers are served
+    result = log.propose(command, timeout=5.0)      # any host; Result[bytes, Fault]
+    result = log.read_barrier(timeout=5.0)          # Result[int, Fault]; then read
+    log.leader(), log.leader_address(), log.is_leading()
+    log.stop()                                      # before the server stops
+
+``apply(index, command) -> bytes`` must be deterministic and must not raise; it runs in
+the task of the log, so it must not wait. After a restart ``restore`` gets the newest
+snapshot during ``setup`` and then ``apply`` each later entry again. A fault is
+``NotAccepted`` (no effect, try again) or ``OutcomeUnknown`` (resend with the same
+operation id); ``read_barrier`` fails with ``NotConfirmed``. One host without peers is
+a cluster of its own. Registered as "replicated-log".
+"""
+
+import secrets
+from pathlib import Path
+from typing import Any
+
+import gevent
+
+from ...core import Kernel
+from ...settings import ControlSettings
+from ..storage import DiskFiles, Store
+from .driver import StateMachine
+from .replicated_log import Options, ReplicatedLog
+from .report import dump_log
+from .serving import make_handlers
+
+__all__ = ["Options", "ReplicatedLog", "StateMachine", "make_handlers", "setup"]
+
+SERVICE = "replicated-log"
+DISK_ID_BYTES = 8
+
+
+def setup(
+    kernel: Kernel,
+    settings: ControlSettings,
+    machine: StateMachine,
+    options: Options | None = None,
+) -> ReplicatedLog:
+    """Recover the log from the data folder; raise StorageError when it is damaged."""
+    store = Store(DiskFiles(Path(settings.data_folder), _run_in_thread))
+    recovered = store.recover(settings.name, lambda: secrets.token_hex(DISK_ID_BYTES))
+    log = ReplicatedLog(
+        settings, machine, store, recovered, kernel.spawn, options or Options()
+    )
+    name = f"{SERVICE}-{settings.name}" if SERVICE in kernel.names() else SERVICE
+    kernel.register(name, log, log.stop, lambda: dump_log(log))
+    return log
+
+
+def _run_in_thread(function: Any, args: tuple[Any, ...]) -> Any:
+    """Let other tasks run while the disk is busy."""
+    return gevent.get_hub().threadpool.apply(function, args)
--- /dev/null
+++ b/ibisshunt/components/consensus/joining.py
@@ -0,0 +1,84 @@
+"""Bring a host without a cluster into one: found it, or ask to be admitted."""
+
+import secrets
+from collections.abc import Callable, Mapping
+
+import gevent
+
+from ...coordination.consensus import Found, Member, Membership
+from ...coordination.consensus.state import Event
+from ...exceptions import RpcError
+from ...helpers.logging import log_event
+from ...model.address import Address
+from ...protocol.consensus import HELLO, HelloReply, HelloRequest
+from ...protocol.rpc import Channel
+
+HELLO_TIMEOUT_SECONDS = 1.0
+HELLO_PAUSE_SECONDS = 0.3
+CLUSTER_ID_BYTES = 8
+
+
+class Joiner:
+    """Own the connections over which a new host introduces itself."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        address: Address,
+        peers: Mapping[str, Address],
+        make_channel: Callable[[Address], Channel],
+        give: Callable[[Event], bool],
+    ) -> None:
+        self._name = name
+        self._host = host
+        self._address = address
+        self._peers = peers
+        self._make_channel = make_channel
+        self._give = give
+        self.names = tuple(sorted({name, *peers}))
+
+    def run(self, is_done: Callable[[], bool]) -> None:
+        """Introduce this host to all peers until it belongs to a cluster."""
+        channels = {
+            name: self._make_channel(address) for name, address in self._peers.items()
+        }
+        try:
+            while not is_done():
+                replies = self._greet(channels)
+                if event := self._decide(replies):
+                    log_event("cluster_founded", cluster=event.cluster, host=self._host)
+                    self._give(event)
+                gevent.sleep(HELLO_PAUSE_SECONDS)
+        finally:
+            for channel in channels.values():
+                channel.close()
+
+    def _greet(self, channels: Mapping[str, Channel]) -> dict[str, HelloReply]:
+        request = HelloRequest(self._host, str(self._address), "", self.names)
+        replies: dict[str, HelloReply] = {}
+        for name, channel in channels.items():
+            try:
+                replies[name] = channel.call(HELLO, request, HELLO_TIMEOUT_SECONDS)
+            except RpcError:
+                continue
+        return replies
+
+    def _decide(self, replies: Mapping[str, HelloReply]) -> Found | None:
+        """Found a cluster only when every host is there and none has ever had one.
+
+        A host that cannot be asked may hold accepted records: to found without it
+        would start a second history beside the first. The lowest name founds, so that
+        only one does.
+        """
+        if self._name != self.names[0] or set(replies) != set(self._peers):
+            return None
+        if any(
+            reply.cluster or reply.names != self.names for reply in replies.values()
+        ):
+            return None
+        members = [Member(self._host, str(self._address), voter=True)]
+        for name, reply in sorted(replies.items()):
+            members.append(Member(reply.host, str(self._peers[name]), voter=True))
+        cluster = secrets.token_hex(CLUSTER_ID_BYTES)
+        return Found(cluster, Membership(tuple(members)))
--- /dev/null
+++ b/ibisshunt/components/consensus/serving.py
@@ -0,0 +1,63 @@
+"""Answer the calls of other control hosts."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from returns.pipeline import is_successful
+
+from ...coordination.consensus import Admit, Received
+from ...coordination.consensus.membership import name_of
+from ...helpers.logging import warn_event
+from ...model.address import parse_address
+from ...protocol.consensus import (
+    EXCHANGE,
+    FORWARD,
+    HELLO,
+    ExchangeReply,
+    ExchangeRequest,
+    ForwardReply,
+    ForwardRequest,
+    HelloReply,
+    HelloRequest,
+    make_reply,
+    unpack,
+)
+from ...protocol.rpc import Method
+from .replicated_log import ReplicatedLog
+
+NO_TICKET = 0
+
+
+def make_handlers(log: ReplicatedLog) -> Mapping[Method, Callable[..., Any]]:
+    """Return the handlers that the host must serve at its rpc address."""
+
+    def exchange(request: ExchangeRequest, context: Any) -> ExchangeReply:
+        taken = 0
+        for packed in request.envelopes:
+            result = unpack(packed)
+            if not is_successful(result):
+                warn_event("envelope_refused", fault=result.failure())
+                continue
+            taken += log.give(Received(result.unwrap()))
+        return ExchangeReply(taken)
+
+    def forward(request: ForwardRequest, context: Any) -> ForwardReply:
+        return make_reply(log.propose_here(request.command, request.timeout))
+
+    def greet(request: HelloRequest, context: Any) -> HelloReply:
+        _admit(log, request)
+        cluster = log.driver.state.hard.cluster
+        return HelloReply(log.driver.host, cluster, log.joiner.names)
+
+    return {EXCHANGE: exchange, FORWARD: forward, HELLO: greet}
+
+
+def _admit(log: ReplicatedLog, request: HelloRequest) -> None:
+    """Offer a new host to the leader when the settings know its name."""
+    if request.cluster or not log.is_leading():
+        return
+    if name_of(request.host) not in log.joiner.names:
+        warn_event("unknown_host_refused", peer=request.host, address=request.address)
+        return
+    if is_successful(parse_address(request.address)):
+        log.give(Admit(NO_TICKET, request.host, request.address))
--- /dev/null
+++ b/tests/components/consensus/test_replicated_log.py
@@ -0,0 +1,161 @@
+import gevent
+import pytest
+from returns.pipeline import is_successful
+
+from ibisshunt.components.consensus import (
+    Options,
+    StateMachine,
+    make_handlers,
+    setup,
+)
+from ibisshunt.coordination.consensus import (
+    ConsensusSettings,
+    NotAccepted,
+    NotConfirmed,
+)
+from ibisshunt.core import Kernel
+from ibisshunt.model.address import Address
+from ibisshunt.protocol.rpc import Server
+from ibisshunt.settings import ControlSettings
+
+FAST = ConsensusSettings(heartbeat_seconds=0.05, election_seconds=0.3)
+OPTIONS = Options(FAST, reserved_bytes=0, snapshot_entries=20)
+
+
+class ControlHost:
+    """One control host in this process, on a real folder and real sockets."""
+
+    def __init__(self, name, folder, options=OPTIONS):
+        self.name = name
+        self.folder = folder
+        self.options = options
+        self.log = None
+        self.address = None
+
+    def bind(self, address=None):
+        """Serve handlers that find the log once it is there."""
+        from ibisshunt.components.consensus.serving import EXCHANGE, FORWARD, HELLO
+
+        def bind(method):
+            return lambda request, context: make_handlers(self.log)[method](
+                request, context
+            )
+
+        handlers = {method: bind(method) for method in (EXCHANGE, FORWARD, HELLO)}
+        self.server = Server(address or Address("127.0.0.1", 0), handlers, workers=32)
+        self.address = self.server.address
+
+    def start(self, peers):
+        self.applied = []
+        self.kernel = Kernel()
+        machine = StateMachine(self.apply, self.take_snapshot, self.restore)
+        settings = ControlSettings(
+            self.name,
+            "moin-a",
+            self.address,
+            self.address,
+            str(self.folder),
+            {peer.name: peer.address for peer in peers if peer is not self},
+        )
+        self.log = setup(self.kernel, settings, machine, self.options)
+        self.server.start()
+        self.log.start()
+
+    def apply(self, index, command):
+        self.applied.append(command)
+        return b"%d" % len(self.applied)
+
+    def take_snapshot(self):
+        return b"\n".join(self.applied)
+
+    def restore(self, data):
+        self.applied = data.split(b"\n") if data else []
+
+    def stop(self):
+        self.kernel.stop()
+        self.server.stop(0.1)
+
+
+def wait_until(check, timeout=20.0):
+    with gevent.Timeout(timeout):
+        while not check():
+            gevent.sleep(0.02)
+
+
+@pytest.fixture
+def hosts(tmp_path):
+    found = [ControlHost(f"c{place}", tmp_path / f"c{place}") for place in (1, 2, 3)]
+    for host in found:
+        host.bind()
+    for host in found:
+        host.start(found)
+    yield found
+    for host in found:
+        host.stop()
+
+
+def find_leader(hosts):
+    return next((host for host in hosts if host.log.is_leading()), None)
+
+
+def test_a_host_alone_accepts_and_starts_again(tmp_path):
+    host = ControlHost("c1", tmp_path)
+    host.bind()
+    host.start([])
+    replies = [host.log.propose(b"v%d" % place, 10.0) for place in range(50)]
+    assert [reply.unwrap() for reply in replies] == [b"%d" % n for n in range(1, 51)]
+    assert host.log.driver.snapshots == 2
+    host.stop()
+    host.bind()
+    host.start([])
+    assert is_successful(host.log.read_barrier(10.0))
+    assert host.applied == [b"v%d" % place for place in range(50)]
+    host.stop()
+
+
+def test_any_host_takes_proposals_and_reads(hosts):
+    for place in range(9):
+        reply = hosts[place % 3].log.propose(b"v%d" % place, 10.0)
+        assert reply.unwrap() == b"%d" % (place + 1)
+    for host in hosts:
+        assert is_successful(host.log.read_barrier(10.0))
+        assert len(host.applied) == 9
+
+
+def test_a_planned_stop_hands_the_lead_over(hosts):
+    # The leader is stopped for an upgrade. Its successor is elected before it goes,
+    # so that callers wait for one exchange and not for an election timeout.
+    hosts[0].log.propose(b"v", 10.0).unwrap()
+    leader = find_leader(hosts)
+    term = leader.log.driver.state.term
+    leader.log.stop()
+    others = [host for host in hosts if host is not leader]
+    wait_until(lambda: find_leader(others) is not None)
+    assert find_leader(others).log.driver.state.term == term + 1
+    refused = leader.log.propose(b"w", 1.0).failure()
+    assert isinstance(refused, NotAccepted)
+    others[0].log.propose(b"x", 10.0).unwrap()
+
+
+def test_a_host_without_quorum_answers_no_read(hosts):
+    # Two of three control hosts are gone. The one that is left may hold an older
+    # state than what they accepted last, so it must not serve reads.
+    hosts[0].log.propose(b"v", 10.0).unwrap()
+    for host in hosts[1:]:
+        host.log.stop()
+    assert isinstance(hosts[0].log.read_barrier(1.0).failure(), NotConfirmed)
+    assert isinstance(hosts[0].log.propose(b"w", 0.5).failure(), NotAccepted)
+
+
+def test_a_full_disk_refuses_and_says_so(tmp_path):
+    # The reserve keeps room for the log of others and for a clean stop; callers are
+    # told that nothing was accepted.
+    host = ControlHost("c1", tmp_path, Options(FAST, reserved_bytes=1 << 60))
+    host.bind()
+    host.start([])
+    wait_until(lambda: host.log.is_leading())
+    wait_until(lambda: not is_successful(host.log.propose(b"v", 1.0)))
+    fault = host.log.propose(b"v", 1.0).failure()
+    assert isinstance(fault, NotAccepted)
+    assert "full" in fault.reason
+    host.stop()
