Put the records on the replicated log of all control hosts

Any host takes APPLY; it is passed to the leader. UNAVAILABLE means that nothing was accepted, ABORTED that the outcome is unknown.

A host named among its own peers counted twice and three hosts needed a quorum of three; the test of the resend after a leader change found it. Control leaves the own name out.

--- a/ibisshunt/components/control/__init__.py
+++ b/ibisshunt/components/control/__init__.py
@@ -1,21 +1,20 @@
 """Keep the records and tell every node of them."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from pathlib import Path
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from ...core import Kernel
 from ...helpers.logging import log_event, warn_event
-from ...helpers.tls import make_server_credentials
+from ...helpers.tls import make_channel_credentials, make_server_credentials
 from ...model.address import Address
 from ...protocol.messages import ANNOUNCE, APPLY, LIST, REPORT, STATUS, WATCH
 from ...protocol.records import HISTORY
-from ...protocol.rpc import Server
+from ...protocol.rpc import Channel, Server
 from ...settings import ControlSettings
+from .. import consensus
+from ..consensus import Options
 from .host import Host
 from .leases import LeaseHandler
-from .log import Journal, Log, StateMachine
 from .records import RecordHandler
 from .reports import ReportHandler
 from .state import ControlState
@@ -24,8 +23,6 @@
 # Each stream holds one worker, which is a greenlet.
 MAX_STREAMS: Final = 2_048
 
-OpenLog = Callable[[ControlSettings, StateMachine], Log]
-
 
 @dataclass(frozen=True, slots=True)
 class Control:
@@ -61,19 +58,41 @@
         }
 
 
-def open_journal(settings: ControlSettings, machine: StateMachine) -> Log:
-    """Open the log of a control host that has no peers."""
-    return Journal(settings.name, Path(settings.data_folder), machine)
+def make_options(settings: ControlSettings) -> Options:
+    """Return the options of the log: the hosts talk to each other under TLS too."""
+    credentials = make_channel_credentials(settings.tls)
+    return Options(make_channel=lambda address: Channel(address, credentials))
+
+
+def leave_out_self(settings: ControlSettings) -> ControlSettings:
+    """Return the settings with the other hosts alone as peers.
+
+    Operators like to give all hosts one list. A host that is its own peer would count
+    twice, and three hosts would need three for a quorum.
+    """
+    others = {
+        name: address
+        for name, address in settings.peers.items()
+        if name != settings.name
+    }
+    return replace(settings, peers=others)
 
 
 def setup(
-    kernel: Kernel, settings: ControlSettings, open_log: OpenLog = open_journal
+    kernel: Kernel, settings: ControlSettings, options: Options | None = None
 ) -> Control:
-    """Start a control host; register it as "control" and return it."""
+    """Start a control host; register it as "control" and return it.
+
+    ``options`` of the replicated log are for tests and embedders.
+    """
     if not settings.admin_token_hash:
         warn_event("control_open", reason="no admin_token_hash: anyone may change all")
+    settings = leave_out_self(settings)
     state = ControlState()
-    host = Host(settings, state, open_log(settings, state.as_machine()))
+    log = consensus.setup(
+        kernel, settings, state.as_machine(), options or make_options(settings)
+    )
+    host = Host(settings, state, log)
     records, watches, leases = (
         RecordHandler(host),
         WatchHandler(host),
@@ -88,6 +107,7 @@
         ANNOUNCE: leases.announce,
         REPORT: reports.report,
         STATUS: reports.tell_status,
+        **consensus.make_handlers(log),
     }
     credentials = make_server_credentials(settings.tls)
     server = Server(settings.rpc, handlers, MAX_STREAMS, credentials)
@@ -97,10 +117,12 @@
     def unload() -> None:
         task.kill()
         watches.stop()
+        # Before the server: the successor must be able to answer while it takes over.
+        log.stop()
         server.stop()
-        host.log.stop()
 
     server.start()
+    log.start()
     log_event("control_started", name=settings.name, rpc=server.address)
     kernel.register("control", control, unload=unload, dump=control.dump)
     return control
--- a/ibisshunt/components/control/host.py
+++ b/ibisshunt/components/control/host.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from ...const import RPC_TIMEOUT_SECONDS
+from ...coordination.consensus import OutcomeUnknown
 from ...coordination.records.commands import Command, encode_command
 from ...exceptions import Fault
 from ...helpers.logging import warn_event
@@ -29,13 +30,11 @@
 
     def is_leader(self) -> bool:
         """Tell whether this host believes that it leads."""
-        return self.log.leader() == self.settings.name
+        return self.log.is_leading()
 
     def find_leader(self) -> Address | None:
         """Return the address of the leader, or None when none is known."""
-        if self.is_leader():
-            return self.settings.rpc
-        return self.settings.peers.get(self.log.leader())
+        return self.settings.rpc if self.is_leader() else self.log.leader_address()
 
     def propose(self, command: Command, kind: Any, context: Any) -> Any:
         """Return the typed outcome of a command; end the call when there is none."""
@@ -51,7 +50,7 @@
         if fault := result.swap().value_or(None):
             warn_event("call_failed", step=fault.step, reason=fault.reason)
             named = name_leader(fault, self.find_leader())
-            context.abort(grpc.StatusCode.UNAVAILABLE, str(named))
+            context.abort(_find_code(fault), str(named))
         return result.unwrap()
 
     def require_leader(self, context: Any) -> None:
@@ -68,6 +67,13 @@
         return not wanted or hash_token(token) == wanted
 
 
+def _find_code(fault: Fault) -> grpc.StatusCode:
+    """Return UNAVAILABLE for what has no effect, ABORTED when that is not known."""
+    if isinstance(fault, OutcomeUnknown):
+        return grpc.StatusCode.ABORTED
+    return grpc.StatusCode.UNAVAILABLE
+
+
 def hash_token(token: str) -> str:
     """Return the SHA-256 of a token in hexadecimal, "" for none."""
     return hashlib.sha256(token.encode()).hexdigest() if token else ""
--- a/ibisshunt/components/control/records.py
+++ b/ibisshunt/components/control/records.py
@@ -83,8 +83,9 @@
         store = self._host.state.store
         if answer := store.answers.find(command):
             return answer
-        # A host that lags might deny a token that was granted a moment ago.
-        self._host.require_leader(context)
+        if not self._host.is_leader():
+            # A host that lags might deny a token that was granted a moment ago.
+            self._host.pass_barrier(context)
         outcome = store.precheck(command)
         if outcome is not None:
             return outcome
--- a/ibisshunt/components/control/reports.py
+++ b/ibisshunt/components/control/reports.py
@@ -62,15 +62,10 @@
         own = self._describe_own()
         if request.local or not self._host.settings.peers:
             return own
-        peers = {
-            name: address
-            for name, address in self._host.settings.peers.items()
-            if name != self._host.settings.name
-        }
         credentials = make_channel_credentials(self._host.settings.tls)
         calls = {
             name: gevent.spawn(ask_status, address, credentials)
-            for name, address in peers.items()
+            for name, address in self._host.settings.peers.items()
         }
         gevent.joinall(list(calls.values()))
         replies = {name: call.value for name, call in calls.items()}
--- a/ibisshunt/components/control/state.py
+++ b/ibisshunt/components/control/state.py
@@ -12,7 +12,7 @@
 from ...coordination.records.store import RecordStore
 from ...exceptions import Fault, StorageError
 from ...protocol.codec import encode
-from .log import StateMachine
+from ..consensus import StateMachine
 
 
 class ControlState:
