--- a/measurements/control.py
+++ b/measurements/control.py
@@ -16,13 +16,18 @@
 import statistics
 import subprocess
 import sys
-import tempfile
 import time
 import tracemalloc
+from contextlib import ExitStack
 from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import gevent
+from gevent.pool import Pool
+from returns.pipeline import is_successful
 
+from ibisshunt.components.consensus import Options
 from ibisshunt.components.control import setup
 from ibisshunt.components.control.state import ControlState
 from ibisshunt.coordination.distribution.receiver import Received, receive
@@ -33,7 +38,6 @@
     encode_command,
 )
 from ibisshunt.coordination.records.documents import parse_document
-from ibisshunt.coordination.records.snapshot import read_snapshot, take_snapshot
 from ibisshunt.core import Kernel
 from ibisshunt.model.address import Address
 from ibisshunt.model.target import Announcement
@@ -190,39 +194,20 @@
     }
 
 
-def measure_restart():
-    """Return seconds to come back after many changes, from the log or a snapshot."""
-    state = ControlState()
-    commands = fill(state, 100, TARGETS_EACH)
-    for number in range(RESTART_CHANGES):
-        text = make_service(number % 100, slots=2 + number)
-        commands.append(encode_command(make_change(f"r{number}", text)))
-        state.apply(len(commands), commands[-1])
-    data = take_snapshot(state.store)
-
-    def replay():
-        fresh = ControlState()
-        for index, command in enumerate(commands, start=1):
-            fresh.apply(index, command)
-
-    return {
-        "entries": len(commands),
-        "log_bytes": sum(len(command) for command in commands),
-        "snapshot_bytes": len(data),
-        "replay_seconds": measure_time(replay, 3),
-        "snapshot_seconds": measure_time(lambda: read_snapshot(data).unwrap(), 5),
-    }
-
-
 class Service:
     """Run one control host on a temporary folder."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, options=None):
         self.kernel = Kernel()
         loopback = Address("127.0.0.1", 0)
         settings = ControlSettings("c1", "east", loopback, loopback, folder)
-        self.control = setup(self.kernel, settings)
+        self.control = setup(self.kernel, settings, options)
         self.channel = Channel(self.control.address)
+        assert is_successful(self.control.host.log.read_barrier(20.0))
+
+    def propose(self, command):
+        """Propose a command on this host."""
+        self.control.host.log.propose(encode_command(command), 20.0).unwrap()
 
     def apply(self, operation, *documents):
         """Apply records and return the revision."""
@@ -236,6 +221,45 @@
         self.kernel.stop()
 
 
+def write_changes(service):
+    """Make many changes over the log, several at a time."""
+    setup_commands = [make_change("setup", BUSINESS)] + [
+        make_change(f"s{number}", make_service(number)) for number in range(100)
+    ]
+    for command in setup_commands:
+        service.propose(command)
+    commands = [
+        make_change(f"r{number}", make_service(number % 100, slots=2 + number))
+        for number in range(RESTART_CHANGES)
+    ]
+    Pool(20).map(service.propose, commands)
+
+
+def measure_restart(folder, snapshot_entries):
+    """Return seconds from start to serving again after many changes."""
+    options = Options(snapshot_entries=snapshot_entries)
+    service = Service(folder, options)
+    start = time.monotonic()
+    write_changes(service)
+    written = time.monotonic() - start
+    revision = service.control.host.state.store.revision
+    service.stop()
+    start, cpu_start = time.monotonic(), time.process_time()
+    service = Service(folder, options)
+    served = time.monotonic() - start
+    cpu = time.process_time() - cpu_start
+    assert service.control.host.state.store.revision == revision
+    service.stop()
+    data = sum(found.stat().st_size for found in Path(folder).iterdir())
+    return {
+        "changes": RESTART_CHANGES,
+        "seconds_to_write": written,
+        "folder_bytes": data,
+        "seconds_until_it_leads_and_serves": served,
+        "cpu_seconds": cpu,
+    }
+
+
 def start_subscribers(address):
     """Start the subscriber processes."""
     count = SUBSCRIBERS // SUBSCRIBER_PROCESSES
@@ -348,16 +372,15 @@
 
 def main():
     """Measure all and print JSON."""
-    with (
-        tempfile.TemporaryDirectory() as first,
-        tempfile.TemporaryDirectory() as second,
-    ):
+    with ExitStack() as stack:
+        folders = [stack.enter_context(TemporaryDirectory()) for _ in range(4)]
         result = {
             "memory": measure_memory(),
             "changes": measure_changes(),
-            "restart": measure_restart(),
-            "streams": measure_streams(first),
-            "renewals": measure_renewals(second),
+            "restart_from_log": measure_restart(folders[0], 1_000_000),
+            "restart_from_snapshot": measure_restart(folders[1], 500),
+            "streams": measure_streams(folders[2]),
+            "renewals": measure_renewals(folders[3]),
         }
     print(json.dumps(result, indent=1))
 
