--- a/ibisshunt/components/node/watcher.py
+++ b/ibisshunt/components/node/watcher.py
@@ -126,7 +126,7 @@
         """End the watch."""
         self._stopping.set()
         if self._stream is not None:
-            self._stream.cancel()
+            self._stream.close()
 
     def _follow(self, address: Address) -> None:
         channel = Channel(address, self._credentials)
@@ -145,7 +145,7 @@
             warn_event("watch_lost", node=self._node, fault=error.fault)
         self.connected_to = ""
         ended.set()
-        self._stream.cancel()
+        self._stream.close()
         gevent.joinall(helpers)
         channel.close()
 
@@ -177,7 +177,7 @@
             silent = time.monotonic() > self._silence_deadline
             if silent or self.configuration.is_stale():
                 warn_event("watch_ended", node=self._node, peer=address, silent=silent)
-                stream.cancel()
+                stream.close()
                 return
 
     def _report(self, channel: Channel, ended: Event) -> None:
--- a/ibisshunt/components/standin/traffic.py
+++ b/ibisshunt/components/standin/traffic.py
@@ -116,5 +116,7 @@
 def fetch_page(address: Address, path: str, timeout: float = 5.0) -> str:
     """Return the body that a service answers over the stream intake."""
     url = f"http://{address}{path}"
-    reply = urllib3.request("GET", url, timeout=timeout, retries=False)
+    # A connection kept open for a next request would hold up a planned stop.
+    headers = {"Connection": "close"}
+    reply = urllib3.request("GET", url, headers=headers, timeout=timeout, retries=False)
     return reply.data.decode()
--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -1,6 +1,6 @@
 """Call methods of other processes over gRPC, with typed messages."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -112,14 +112,18 @@
         self._replies = replies
         self._explain = explain
 
-    def __iter__(self) -> Iterator[Any]:
-        """Yield replies until the stream ends; raise RpcError when it breaks."""
+    def __iter__(self) -> "Stream":
+        """Return the stream itself."""
+        return self
+
+    def __next__(self) -> Any:
+        """Return the next reply; raise RpcError when the stream breaks."""
         try:
-            yield from self._replies
+            return next(self._replies)
         except grpc.RpcError as error:
             raise self._explain(error) from error
 
-    def cancel(self) -> None:
+    def close(self) -> None:
         """End the stream; whoever waits for its next reply gets an RpcError."""
         self._replies.cancel()
 
--- a/tests/helpers/test_relay.py
+++ b/tests/helpers/test_relay.py
@@ -2,6 +2,7 @@
 import pytest
 from gevent import socket
 
+from ibisshunt.helpers import relay
 from ibisshunt.helpers.relay import relay_streams, reset_connection
 
 
@@ -44,3 +45,17 @@
     reset_connection(target)
     with pytest.raises(ConnectionError):
         caller.recv(100)
+
+
+def test_a_caller_that_never_closes_does_not_hold_the_stream(monkeypatch):
+    # The caller has its whole answer and keeps the connection: the target has ended
+    # its side, nothing moves any more, the relay ends so that a stop can go on.
+    monkeypatch.setattr(relay, "HALF_CLOSED_SECONDS", 0.05)
+    caller, front = make_connection()
+    back, target = make_connection()
+    task = gevent.spawn(relay_streams, front, back)
+    target.sendall(b"answer")
+    target.close()
+    assert caller.recv(100) == b"answer"
+    task.get(timeout=10)
+    assert caller.recv(100) == b""
