Add the rpc address of an agent and left_revision of a slice

Cause: agents of one service call each other; a newcomer must know whether an agent ever left the service, else it cannot tell a new service from a lost past. Change: Announcement.rpc, AgentSettings.rpc and ServiceSlice.left_revision, all optional. Control has to fill left_revision, the announcer rpc.

--- a/ibisshunt/model/configuration.py
+++ b/ibisshunt/model/configuration.py
@@ -13,12 +13,14 @@
     """Hold one service and its targets.
 
     ``revision`` is the position in the log that last changed this slice. Targets are
-    in the order of their incarnation.
+    in the order of their incarnation. ``left_revision`` is the position at which a
+    target last left the service, 0 when none ever has.
     """
 
     service: Service
     targets: tuple[Target, ...]
     revision: int
+    left_revision: int = 0
 
     @property
     def number(self) -> int:
--- a/ibisshunt/model/target.py
+++ b/ibisshunt/model/target.py
@@ -22,7 +22,8 @@
     ``session`` is drawn by the target's process at its start: the same target with a
     new session is a new incarnation. ``packets`` takes datagrams from balancers and
     other agents, ``streams`` relayed TCP streams, ``tunnel`` is the target host's own
-    GUE tunnel end.
+    GUE tunnel end. ``rpc`` takes calls of the other agents of the service; without it
+    the agent shares no requests and keeps no outcomes.
     """
 
     business: str
@@ -35,6 +36,7 @@
     streams: Address
     tunnel: Address
     weight: int = 100
+    rpc: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisshunt/settings.py
+++ b/ibisshunt/settings.py
@@ -70,7 +70,8 @@
 class AgentSettings:
     """Settings of ``ibisshunt-agent``.
 
-    ``replies`` is where packets towards callers go when the agent itself answers.
+    ``replies`` is where packets towards callers go when the agent itself answers,
+    ``rpc`` where it takes calls of the other agents of its service.
     """
 
     name: str
@@ -81,6 +82,7 @@
     admin: Address
     target: TargetSettings
     replies: Address | None = None
+    rpc: Address | None = None
     max_flows: int = 300_000
     tls: TlsSettings | None = None
 
@@ -167,6 +169,7 @@
         vol.Required("streams"): check_address,
         vol.Required("target"): TARGET,
         vol.Optional("replies"): check_address,
+        vol.Optional("rpc"): check_address,
         vol.Optional("max_flows"): vol.All(int, vol.Range(min=1, max=10_000_000)),
     },
 )
