--- /dev/null
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -0,0 +1,421 @@
+"""Queue requests for the own target and share them with the other agents."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import closing
+from dataclasses import dataclass, field, replace
+from random import random
+from typing import Any, Final
+
+import gevent
+from gevent.event import Event
+
+from ...const import WARM_UP_SECONDS
+from ...coordination.requests.admission import Admission, Refused
+from ...coordination.requests.budget import RetryBudget
+from ...coordination.requests.outcomes import Attempt
+from ...coordination.requests.sharing import Load, Sharing
+from ...coordination.requests.weighting import (
+    Observation,
+    find_share,
+    observe,
+    weigh_targets,
+)
+from ...exceptions import RpcError
+from ...helpers.logging import warn_event
+from ...model.record import RequestPolicy
+from ...protocol.requests import Envelope, HandRequest, Outcome, Part, PartKind, Request
+from .client import TargetClient, refuse
+from .peers import Peers
+
+TICK_SECONDS: Final = 0.02
+FEED_TYPE: Final = "text/event-stream"
+LAST_PARTS: Final = (PartKind.END, PartKind.REFUSAL)
+# A peer answers within the deadline; the way back may take this much longer.
+HAND_GRACE_SECONDS: Final = 0.5
+MAX_FEEDS: Final = 10_000
+# Pushed once on arrival and pulled once by an idle agent.
+MAX_HOPS: Final = 2
+LONGEST_PROBE_SECONDS: Final = 1.0
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold one request that this agent queues or runs; times are steady seconds."""
+
+    request: Request
+    attempt: Attempt
+    deadline: float
+    hops: int
+    decided: Event = field(default_factory=Event)
+    started: bool = False
+    # The agent that has pulled the job; None to run it here.
+    peer: int | None = None
+    target_failed: bool = False
+    refusal: Part | None = None
+
+
+class Dispatcher:
+    """Own the admission of one target."""
+
+    def __init__(self, client: TargetClient, clock: Callable[[], float]) -> None:
+        self.sharing = Sharing()
+        self.peers = Peers(self.sharing, clock, self.tell_load)
+        self.admission = Admission(1, RequestPolicy().queue_limit)
+        self.budget = RetryBudget(RequestPolicy().retry_share)
+        self.warm_deadline = 0.0
+        self.feeds = 0
+        self._client = client
+        self._clock = clock
+        self._jobs: dict[Attempt, Job] = {}
+        self._seen: dict[int, Observation] = {}
+        self._handing = 0
+        self._pulling = False
+        self._next_probe = 0.0
+        self._probe_pause = TICK_SECONDS
+
+    def follow(self, slots: int, policy: RequestPolicy, warm_deadline: float) -> None:
+        """Take over what the record says; ``warm_deadline`` is wall-clock time."""
+        self.admission.slots = slots
+        self.admission.queue_limit = policy.queue_limit
+        self.warm_deadline = warm_deadline
+        known = {self.peers.incarnation, *self.peers.list_known()}
+        self._seen = {one: seen for one, seen in self._seen.items() if one in known}
+
+    def tell_load(self) -> Load:
+        """Return the load that travels with each message."""
+        slots = self.admission.count_usable(self._find_share())
+        running, queued = len(self.admission.running), self.admission.queued
+        seconds = self.admission.service_seconds
+        stopping = self.admission.stopping
+        weight = weigh_targets(self._seen).get(self.peers.incarnation, 1.0)
+        # A target that refuses at once looks idle. What was seen of it counts more.
+        if weight < 1.0:
+            running, seconds = max(running, slots), seconds / weight
+        return Load(running, queued, slots, seconds, stopping)
+
+    def run(
+        self, request: Request, attempt: Attempt, deadline: float, hops: int = 0
+    ) -> Iterator[Part]:
+        """Yield the answer of a request, from the own target or another agent's."""
+        job = Job(request, attempt, deadline, hops)
+        if hops > 0:
+            yield from self._run_here(job)
+            return
+        self.budget.count_request()
+        peer = self._choose_peer(request)
+        if peer is not None:
+            yield from self._try_both(
+                job, self._hand(job, peer), lambda: self._run_here(job)
+            )
+            return
+        yield from self._try_both(
+            job, self._run_here(job), lambda: self._run_elsewhere(job)
+        )
+
+    def withdraw(self, attempt: Attempt, reason: str) -> None:
+        """Refuse a request that has not started; do nothing when it has."""
+        if attempt in self._jobs and not self._jobs[attempt].decided.is_set():
+            self._refuse_job(attempt, reason)
+
+    def _try_both(
+        self, job: Job, first: Iterator[Part], second: Callable[[], Iterator[Part]]
+    ) -> Iterator[Part]:
+        """Yield the first answer, or the second when the first did not begin."""
+        with closing(first):
+            part = next(first, None)
+            if part is None:
+                return
+            if not self._may_repeat(job, part):
+                yield part
+                yield from first
+                return
+        again = second()
+        with closing(again):
+            found = next(again, None)
+            yield part if found is None else found
+            yield from again
+
+    def _choose_peer(self, request: Request) -> int | None:
+        if is_feed_wanted(request):
+            return None
+        weights = weigh_targets(self._seen)
+        return self.sharing.choose(self.tell_load(), random, self._clock(), weights)
+
+    def _run_elsewhere(self, job: Job) -> Iterator[Part]:
+        """Hand a job over that the own target has refused; yield nothing if alone."""
+        if not job.target_failed:
+            return
+        own = replace(self.tell_load(), stopping=True)
+        weights = weigh_targets(self._seen)
+        peer = self.sharing.choose(own, random, self._clock(), weights)
+        if peer is not None:
+            yield from self._hand(job, peer)
+
+    def _may_repeat(self, job: Job, part: Part) -> bool:
+        if part.kind != PartKind.REFUSAL or self.admission.stopping:
+            return False
+        # Without a key nobody can tell whether a second run doubles the first.
+        safe = part.outcome == Outcome.NOT_RUN or is_idempotent(job.request)
+        return safe and self.budget.take()
+
+    def _hand(self, job: Job, peer: int) -> Iterator[Part]:
+        """Yield what another agent answers; closing the iterator cancels it there."""
+
+        def make(envelope: Envelope) -> HandRequest:
+            left = job.deadline - self._clock()
+            return HandRequest(envelope, job.request, job.attempt, left, job.hops + 1)
+
+        started, is_feed, failed = self._clock(), False, True
+        self._handing += 1
+        try:
+            with closing(self.peers.hand(peer, make)) as parts:
+                while part := self._take_handed_part(parts, job, is_feed):
+                    is_feed = (
+                        is_feed or part.kind == PartKind.HEAD and is_feed_head(part)
+                    )
+                    failed = part.kind == PartKind.REFUSAL
+                    yield part
+        except RpcError as error:
+            # The call broke: the request may be running there. It is not sent again
+            # unless it is idempotent.
+            self.sharing.set_aside(peer, self._clock())
+            warn_event("hand_over_broke", peer=peer, fault=error.fault)
+            yield refuse(Outcome.UNKNOWN, str(error.fault), 1.0)
+        finally:
+            self._handing -= 1
+            self._note(peer, failed, self._clock() - started)
+
+    def _take_handed_part(
+        self, parts: Iterator[Part], job: Job, is_feed: bool
+    ) -> Part | None:
+        """Return the next part; a peer that is silent past the deadline has failed."""
+        left = max(0.001, job.deadline + HAND_GRACE_SECONDS - self._clock())
+        with gevent.Timeout(None if is_feed else left, False):
+            return next(parts, None)
+        return refuse(Outcome.UNKNOWN, "agent is silent past the deadline", 1.0)
+
+    def _run_here(self, job: Job) -> Iterator[Part]:
+        refused = self._offer(job)
+        if refused is not None:
+            yield make_refusal(refused)
+            return
+        try:
+            self._wait_for_start(job)
+            if job.refusal is not None:
+                yield job.refusal
+            elif job.peer is not None:
+                yield from self._run_pulled(job)
+            else:
+                yield from self._run_in_target(job)
+        finally:
+            self._drop(job)
+
+    def _offer(self, job: Job) -> Refused | None:
+        refused = self.admission.offer(
+            job.attempt,
+            job.request.caller,
+            job.deadline,
+            self._clock(),
+            self._find_share(),
+        )
+        if refused is None:
+            self._jobs[job.attempt] = job
+            self._start_jobs()
+        return refused
+
+    def _wait_for_start(self, job: Job) -> None:
+        left = max(0.0, job.deadline - self._clock())
+        if not job.decided.wait(left) and not job.started:
+            self.admission.withdraw(job.attempt)
+            job.refusal = refuse(Outcome.NOT_RUN, "deadline passed in the queue", 1.0)
+
+    def _run_pulled(self, job: Job) -> Iterator[Part]:
+        self._jobs.pop(job.attempt, None)
+        again = Job(job.request, job.attempt, job.deadline, MAX_HOPS)
+        yield from self._try_both(
+            job, self._hand(job, job.peer), lambda: self._run_here(again)
+        )
+
+    def _run_in_target(self, job: Job) -> Iterator[Part]:
+        """Yield the target's answer; a feed gives its slot back with its head."""
+        started = self._clock()
+        seconds: float | None = None
+        failed, is_feed = True, False
+        wall = time.time() + job.deadline - started
+        with closing(self._client.run(job.request, wall)) as parts:
+            try:
+                while part := self._take_part(parts, job, is_feed):
+                    if part.kind == PartKind.HEAD:
+                        failed = part.status in (429, 503)
+                        is_feed = self._is_feed(part)
+                    if part.kind == PartKind.END and not failed:
+                        seconds = self._clock() - started
+                    job.target_failed = part.kind == PartKind.REFUSAL
+                    if is_feed or part.kind in LAST_PARTS:
+                        self._free(job, seconds)
+                    yield part
+            finally:
+                self.feeds -= is_feed
+                spent = self._clock() - started
+                self._note(self.peers.incarnation, failed, spent)
+
+    def _take_part(self, parts: Iterator[Part], job: Job, is_feed: bool) -> Part | None:
+        """Return the next part; after the deadline, that nobody knows."""
+        left = None if is_feed else max(0.001, job.deadline - self._clock())
+        with gevent.Timeout(left, False):
+            return next(parts, None)
+        return refuse(Outcome.UNKNOWN, "deadline passed in the target", 1.0)
+
+    def _is_feed(self, head: Part) -> bool:
+        if is_feed_head(head) and self.feeds < MAX_FEEDS:
+            self.feeds += 1
+            return True
+        return False
+
+    def _free(self, job: Job, seconds: float | None) -> None:
+        self.admission.finish(job.attempt, seconds)
+        self._start_jobs()
+
+    def _drop(self, job: Job) -> None:
+        """Forget a job whose caller has left or has its answer."""
+        if self._jobs.get(job.attempt) is job:
+            del self._jobs[job.attempt]
+            self.admission.withdraw(job.attempt)
+            self._free(job, None)
+
+    def _start_jobs(self) -> None:
+        while waiting := self.admission.start_next(self._clock(), self._find_share()):
+            job = self._jobs[waiting.attempt]
+            job.started = True
+            job.decided.set()
+
+    def take_handed(self, call: HandRequest) -> Iterator[Part]:
+        """Run what another agent hands over."""
+        self.sharing.hear(call.envelope.sender, call.envelope.load, self._clock())
+        deadline = self._clock() + call.seconds_left
+        return self.run(call.request, call.attempt, deadline, call.hops)
+
+    def take_pull(self, sender: int, load: Load, idle: bool) -> int:
+        """Hand the next request to an idle agent; return how many are handed."""
+        self.sharing.hear(sender, load, self._clock())
+        if load.queued and self._is_idle():
+            gevent.spawn(self._pull, sender)
+        if not idle or sender not in self.peers.list_known():
+            return 0
+        waiting = self.admission.take_next()
+        if waiting is None:
+            return 0
+        job = self._jobs[waiting.attempt]
+        if job.hops >= MAX_HOPS or is_feed_wanted(job.request):
+            self._offer(job)
+            return 0
+        job.peer = sender
+        job.decided.set()
+        return 1
+
+    def tick(self) -> None:
+        """Drop what is too late, start what the ramp allows, look for work."""
+        now = self._clock()
+        for attempt in self.admission.list_expired(now):
+            self._refuse_job(attempt, "deadline can not be met any more")
+        self._start_jobs()
+        if now >= self._next_probe and not self._pulling:
+            self._probe(now)
+
+    def _refuse_job(self, attempt: Attempt, reason: str) -> None:
+        job = self._jobs[attempt]
+        self.admission.withdraw(attempt)
+        wait = max(self.admission.estimate_wait(), self.admission.service_seconds)
+        job.refusal = refuse(Outcome.NOT_RUN, reason, wait)
+        job.decided.set()
+
+    def _probe(self, now: float) -> None:
+        """Ask for work when idle, offer it when requests wait; rarely without use."""
+        idle, queued = self._is_idle(), self.admission.queued
+        longest = self.sharing.find_longest(now) if idle else None
+        known = self.peers.list_known()
+        if not known or not (idle or queued):
+            return
+        useful = longest is not None or queued > 0
+        self._probe_pause = (
+            TICK_SECONDS
+            if useful
+            else min(LONGEST_PROBE_SECONDS, self._probe_pause * 2)
+        )
+        self._next_probe = now + self._probe_pause
+        peer = longest if longest is not None else known[int(random() * len(known))]
+        gevent.spawn(self._pull, peer)
+
+    def _pull(self, peer: int) -> None:
+        if self._pulling:
+            return
+        self._pulling = True
+        try:
+            self.peers.pull(peer, self._is_idle())
+        finally:
+            self._pulling = False
+
+    def _is_idle(self) -> bool:
+        load = self.tell_load()
+        return not load.stopping and load.queued == 0 and load.running < load.slots
+
+    def stop(self) -> None:
+        """Hand on or refuse what has not started."""
+        self.admission.stopping = True
+        for attempt, job in [*self._jobs.items()]:
+            if job.started or not self.admission.withdraw(attempt):
+                continue
+            peer = self._choose_peer(job.request) if job.hops < MAX_HOPS else None
+            if peer is None:
+                job.refusal = refuse(Outcome.NOT_RUN, "agent is stopping", 1.0)
+            job.peer = peer
+            job.decided.set()
+
+    @property
+    def busy(self) -> int:
+        """Count the requests in progress, feeds among them."""
+        return len(self._jobs) + self._handing
+
+    def _note(self, incarnation: int, failed: bool, seconds: float) -> None:
+        seen = self._seen.get(incarnation, Observation())
+        self._seen[incarnation] = observe(seen, failed, seconds)
+
+    def _find_share(self) -> float:
+        return find_share(self.warm_deadline, WARM_UP_SECONDS, time.time())
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            "slots": self.admission.slots,
+            "running": len(self.admission.running),
+            "queued": self.admission.queued,
+            "feeds": self.feeds,
+            "stopping": self.admission.stopping,
+            "service_seconds": self.admission.service_seconds,
+            "weights": weigh_targets(self._seen),
+        }
+
+
+def is_idempotent(request: Request) -> bool:
+    """Tell whether the method may be sent again, as RFC 9110 defines it."""
+    return request.method in ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
+
+
+def is_feed_wanted(request: Request) -> bool:
+    """Tell whether the caller asks for a feed; feeds stay with their agent."""
+    return any(
+        name.lower() == "accept" and FEED_TYPE in value
+        for name, value in request.headers
+    )
+
+
+def is_feed_head(head: Part) -> bool:
+    """Tell whether an answer is a feed: it then has no deadline and no slot."""
+    kinds = [value for name, value in head.headers if name.lower() == "content-type"]
+    return bool(kinds) and kinds[0].startswith(FEED_TYPE)
+
+
+def make_refusal(refused: Refused) -> Part:
+    """Return the part that tells a caller of a refusal."""
+    return refuse(Outcome.NOT_RUN, refused.reason, refused.retry_after)
