--- a/ibisshunt/components/requests/__init__.py
+++ b/ibisshunt/components/requests/__init__.py
@@ -15,10 +15,11 @@
 from ...settings import AgentSettings
 from .client import TargetClient
 from .desk import Desk
-from .dispatcher import TICK_SECONDS, Dispatcher
+from .dispatcher import Dispatcher
 from .front import Front
 from .intake import Intake
 from .keeper import Keeper
+from .prober import TICK_SECONDS
 
 STOP_POLL_SECONDS: Final = 0.02
 # How long the other agents get to copy the outcomes that are kept here.
--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -3,12 +3,11 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import closing
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import random
 from typing import Any, Final
 
 import gevent
-from gevent.event import Event
 
 from ...const import WARM_UP_SECONDS
 from ...coordination.requests.admission import Admission, Refused
@@ -26,33 +25,22 @@
 from ...model.record import RequestPolicy
 from ...protocol.requests import Envelope, HandRequest, Outcome, Part, PartKind, Request
 from .client import TargetClient, refuse
+from .jobs import (
+    LAST_PARTS,
+    Job,
+    is_feed_head,
+    is_feed_wanted,
+    is_idempotent,
+    make_refusal,
+)
 from .peers import Peers
+from .prober import Prober
 
-TICK_SECONDS: Final = 0.02
-FEED_TYPE: Final = "text/event-stream"
-LAST_PARTS: Final = (PartKind.END, PartKind.REFUSAL)
 # A peer answers within the deadline; the way back may take this much longer.
 HAND_GRACE_SECONDS: Final = 0.5
 MAX_FEEDS: Final = 10_000
 # Pushed once on arrival and pulled once by an idle agent.
 MAX_HOPS: Final = 2
-LONGEST_PROBE_SECONDS: Final = 1.0
-
-
-@dataclass(slots=True)
-class Job:
-    """Hold one request that this agent queues or runs; times are steady seconds."""
-
-    request: Request
-    attempt: Attempt
-    deadline: float
-    hops: int
-    decided: Event = field(default_factory=Event)
-    started: bool = False
-    # The agent that has pulled the job; None to run it here.
-    peer: int | None = None
-    target_failed: bool = False
-    refusal: Part | None = None
 
 
 class Dispatcher:
@@ -70,9 +58,7 @@
         self._jobs: dict[Attempt, Job] = {}
         self._seen: dict[int, Observation] = {}
         self._handing = 0
-        self._pulling = False
-        self._next_probe = 0.0
-        self._probe_pause = TICK_SECONDS
+        self._prober = Prober(self.peers, self.sharing, self._is_idle)
 
     def follow(self, slots: int, policy: RequestPolicy, warm_deadline: float) -> None:
         """Take over what the record says; ``warm_deadline`` is wall-clock time."""
@@ -167,10 +153,11 @@
             return HandRequest(envelope, job.request, job.attempt, left, job.hops + 1)
 
         started, is_feed, failed = self._clock(), False, True
+        late = job.deadline + HAND_GRACE_SECONDS
         self._handing += 1
         try:
             with closing(self.peers.hand(peer, make)) as parts:
-                while part := self._take_handed_part(parts, job, is_feed):
+                while part := self._take(parts, late, is_feed, "agent is silent"):
                     is_feed = (
                         is_feed or part.kind == PartKind.HEAD and is_feed_head(part)
                     )
@@ -186,14 +173,14 @@
             self._handing -= 1
             self._note(peer, failed, self._clock() - started)
 
-    def _take_handed_part(
-        self, parts: Iterator[Part], job: Job, is_feed: bool
+    def _take(
+        self, parts: Iterator[Part], deadline: float, is_feed: bool, where: str
     ) -> Part | None:
-        """Return the next part; a peer that is silent past the deadline has failed."""
-        left = max(0.001, job.deadline + HAND_GRACE_SECONDS - self._clock())
+        """Return the next part; after the deadline, that nobody knows."""
+        left = max(0.001, deadline - self._clock())
         with gevent.Timeout(None if is_feed else left, False):
             return next(parts, None)
-        return refuse(Outcome.UNKNOWN, "agent is silent past the deadline", 1.0)
+        return refuse(Outcome.UNKNOWN, f"deadline passed: {where}", 1.0)
 
     def _run_here(self, job: Job) -> Iterator[Part]:
         refused = self._offer(job)
@@ -245,7 +232,7 @@
         wall = time.time() + job.deadline - started
         with closing(self._client.run(job.request, wall)) as parts:
             try:
-                while part := self._take_part(parts, job, is_feed):
+                while part := self._take(parts, job.deadline, is_feed, "in target"):
                     if part.kind == PartKind.HEAD:
                         failed = part.status in (429, 503)
                         is_feed = self._is_feed(part)
@@ -260,13 +247,6 @@
                 spent = self._clock() - started
                 self._note(self.peers.incarnation, failed, spent)
 
-    def _take_part(self, parts: Iterator[Part], job: Job, is_feed: bool) -> Part | None:
-        """Return the next part; after the deadline, that nobody knows."""
-        left = None if is_feed else max(0.001, job.deadline - self._clock())
-        with gevent.Timeout(left, False):
-            return next(parts, None)
-        return refuse(Outcome.UNKNOWN, "deadline passed in the target", 1.0)
-
     def _is_feed(self, head: Part) -> bool:
         if is_feed_head(head) and self.feeds < MAX_FEEDS:
             self.feeds += 1
@@ -300,7 +280,7 @@
         """Hand the next request to an idle agent; return how many are handed."""
         self.sharing.hear(sender, load, self._clock())
         if load.queued and self._is_idle():
-            gevent.spawn(self._pull, sender)
+            self._prober.start_pull(sender)
         if not idle or sender not in self.peers.list_known():
             return 0
         waiting = self.admission.take_next()
@@ -320,8 +300,7 @@
         for attempt in self.admission.list_expired(now):
             self._refuse_job(attempt, "deadline can not be met any more")
         self._start_jobs()
-        if now >= self._next_probe and not self._pulling:
-            self._probe(now)
+        self._prober.probe(now, self._is_idle(), self.admission.queued)
 
     def _refuse_job(self, attempt: Attempt, reason: str) -> None:
         job = self._jobs[attempt]
@@ -330,32 +309,6 @@
         job.refusal = refuse(Outcome.NOT_RUN, reason, wait)
         job.decided.set()
 
-    def _probe(self, now: float) -> None:
-        """Ask for work when idle, offer it when requests wait; rarely without use."""
-        idle, queued = self._is_idle(), self.admission.queued
-        longest = self.sharing.find_longest(now) if idle else None
-        known = self.peers.list_known()
-        if not known or not (idle or queued):
-            return
-        useful = longest is not None or queued > 0
-        self._probe_pause = (
-            TICK_SECONDS
-            if useful
-            else min(LONGEST_PROBE_SECONDS, self._probe_pause * 2)
-        )
-        self._next_probe = now + self._probe_pause
-        peer = longest if longest is not None else known[int(random() * len(known))]
-        gevent.spawn(self._pull, peer)
-
-    def _pull(self, peer: int) -> None:
-        if self._pulling:
-            return
-        self._pulling = True
-        try:
-            self.peers.pull(peer, self._is_idle())
-        finally:
-            self._pulling = False
-
     def _is_idle(self) -> bool:
         load = self.tell_load()
         return not load.stopping and load.queued == 0 and load.running < load.slots
@@ -395,27 +348,3 @@
             "service_seconds": self.admission.service_seconds,
             "weights": weigh_targets(self._seen),
         }
-
-
-def is_idempotent(request: Request) -> bool:
-    """Tell whether the method may be sent again, as RFC 9110 defines it."""
-    return request.method in ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
-
-
-def is_feed_wanted(request: Request) -> bool:
-    """Tell whether the caller asks for a feed; feeds stay with their agent."""
-    return any(
-        name.lower() == "accept" and FEED_TYPE in value
-        for name, value in request.headers
-    )
-
-
-def is_feed_head(head: Part) -> bool:
-    """Tell whether an answer is a feed: it then has no deadline and no slot."""
-    kinds = [value for name, value in head.headers if name.lower() == "content-type"]
-    return bool(kinds) and kinds[0].startswith(FEED_TYPE)
-
-
-def make_refusal(refused: Refused) -> Part:
-    """Return the part that tells a caller of a refusal."""
-    return refuse(Outcome.NOT_RUN, refused.reason, refused.retry_after)
--- a/ibisshunt/components/requests/front.py
+++ b/ibisshunt/components/requests/front.py
@@ -225,7 +225,7 @@
         except OSError:
             left = True
         if left:
-            gevent.kill(task, CallerLeftError(), block=False)
+            gevent.kill(task, CallerLeftError())
     finally:
         watcher.close()
 
--- a/ibisshunt/components/requests/intake.py
+++ b/ibisshunt/components/requests/intake.py
@@ -101,7 +101,7 @@
         # and may serve another call by the time the cancellation comes.
         parts: Queue = Queue(maxsize=QUEUED_PARTS)
         task = gevent.spawn(self._produce, call, parts)
-        context.add_callback(lambda: gevent.kill(task, CallerLeftError(), block=False))
+        context.add_callback(lambda: gevent.kill(task, CallerLeftError()))
         while (part := parts.get()) is not None:
             if part.kind in (PartKind.HEAD, PartKind.END, PartKind.REFUSAL):
                 part = replace(part, load=self._dispatcher.tell_load())
--- a/tests/components/requests/request_service.py
+++ b/tests/components/requests/request_service.py
@@ -194,7 +194,7 @@
             agent.kill()
 
 
-def wait_for(condition, seconds=10.0):
+def wait_for(condition, seconds=6.0):
     """Wait for a state; fail when it does not come. The time is only a safety net."""
     deadline = time.monotonic() + seconds
     while not condition():
--- a/tests/components/requests/test_front.py
+++ b/tests/components/requests/test_front.py
@@ -95,6 +95,18 @@
     assert not any(b"swap" in one.target.runs for one in service.agents)
 
 
+def test_a_caller_that_leaves_during_the_run_frees_the_slot(service):
+    # Hazard 21: nobody waits for the answer and no key can bring it back, so the
+    # connection to the target is closed: that is how a target is told to cancel.
+    agent = service.agents[0]
+    agent.target.gate.clear()
+    raw = open_raw(agent, POST % b"")
+    wait_for(lambda: agent.target.runs)
+    raw.close()
+    wait_for(lambda: not agent.requests.dispatcher.admission.running)
+    assert agent.requests.dispatcher.busy == 0
+
+
 def test_a_deadline_in_the_target_is_told_unknown_and_cancels_it(service):
     # Hazard 21: the deadline passes during the run; nobody knows what the target did.
     agent = service.agents[0]
