Pull as soon as a slot is free, and test that a swap is never sent twice

Cause: an idle agent waited for the next tick (20 ms) before it pulled; and no test failed when a request without a key was sent again. Change: the choice of whom to ask is a decision of its own, used on each freed slot; the load of an agent is worked out by a decision.

--- a/ibisshunt/components/requests/__init__.py
+++ b/ibisshunt/components/requests/__init__.py
@@ -19,8 +19,8 @@
 from .front import Front
 from .intake import Intake
 from .keeper import Keeper
-from .prober import TICK_SECONDS
 
+TICK_SECONDS: Final = 0.02
 STOP_POLL_SECONDS: Final = 0.02
 # How long the other agents get to copy the outcomes that are kept here.
 LINGER_SECONDS: Final = 3.0
--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -13,7 +13,7 @@
 from ...coordination.requests.admission import Admission, Refused
 from ...coordination.requests.budget import RetryBudget
 from ...coordination.requests.outcomes import Attempt
-from ...coordination.requests.sharing import Load, Sharing
+from ...coordination.requests.sharing import Load, Sharing, measure_load
 from ...coordination.requests.weighting import (
     Observation,
     find_share,
@@ -58,7 +58,7 @@
         self._jobs: dict[Attempt, Job] = {}
         self._seen: dict[int, Observation] = {}
         self._handing = 0
-        self._prober = Prober(self.peers, self.sharing, self._is_idle)
+        self._prober = Prober(self.peers, self.sharing, self._is_idle, clock)
 
     def follow(self, slots: int, policy: RequestPolicy, warm_deadline: float) -> None:
         """Take over what the record says; ``warm_deadline`` is wall-clock time."""
@@ -70,15 +70,8 @@
 
     def tell_load(self) -> Load:
         """Return the load that travels with each message."""
-        slots = self.admission.count_usable(self._find_share())
-        running, queued = len(self.admission.running), self.admission.queued
-        seconds = self.admission.service_seconds
-        stopping = self.admission.stopping
         weight = weigh_targets(self._seen).get(self.peers.incarnation, 1.0)
-        # A target that refuses at once looks idle. What was seen of it counts more.
-        if weight < 1.0:
-            running, seconds = max(running, slots), seconds / weight
-        return Load(running, queued, slots, seconds, stopping)
+        return measure_load(self.admission, self._find_share(), weight)
 
     def run(
         self, request: Request, attempt: Attempt, deadline: float, hops: int = 0
@@ -256,6 +249,7 @@
     def _free(self, job: Job, seconds: float | None) -> None:
         self.admission.finish(job.attempt, seconds)
         self._start_jobs()
+        self._prober.probe(self.admission.queued)
 
     def _drop(self, job: Job) -> None:
         """Forget a job whose caller has left or has its answer."""
@@ -300,7 +294,7 @@
         for attempt in self.admission.list_expired(now):
             self._refuse_job(attempt, "deadline can not be met any more")
         self._start_jobs()
-        self._prober.probe(now, self._is_idle(), self.admission.queued)
+        self._prober.probe(self.admission.queued)
 
     def _refuse_job(self, attempt: Attempt, reason: str) -> None:
         job = self._jobs[attempt]
--- a/ibisshunt/components/requests/prober.py
+++ b/ibisshunt/components/requests/prober.py
@@ -1,48 +1,39 @@
-"""Look for requests that an idle agent could run."""
+"""Call other agents for requests that this one could run."""
 
 from collections.abc import Callable
 from random import random
-from typing import Final
 
 import gevent
 
+from ...coordination.requests.probing import Probing
 from ...coordination.requests.sharing import Sharing
 from .peers import Peers
 
-TICK_SECONDS: Final = 0.02
-LONGEST_PAUSE_SECONDS: Final = 1.0
-
 
 class Prober:
-    """Own the calls that pull requests; one runs at a time.
-
-    The loads that other messages bring tell an idle agent whom to ask. Without any it
-    asks at random, ever more rarely; an agent with a queue tells its load so that an
-    idle one learns of it.
-    """
+    """Own the calls that pull requests; one runs at a time."""
 
     def __init__(
-        self, peers: Peers, sharing: Sharing, is_idle: Callable[[], bool]
+        self,
+        peers: Peers,
+        sharing: Sharing,
+        is_idle: Callable[[], bool],
+        clock: Callable[[], float],
     ) -> None:
         self._peers = peers
-        self._sharing = sharing
+        self._probing = Probing(sharing)
         self._is_idle = is_idle
+        self._clock = clock
         self._pulling = False
-        self._next_time = 0.0
-        self._pause = TICK_SECONDS
 
-    def probe(self, now: float, idle: bool, queued: int) -> None:
+    def probe(self, queued: int) -> None:
         """Ask for work when idle, tell of work when requests wait."""
-        known = self._peers.list_known()
-        if now < self._next_time or not known or not (idle or queued):
+        if self._pulling:
             return
-        longest = self._sharing.find_longest(now) if idle else None
-        useful = longest is not None or queued > 0
-        slower = min(LONGEST_PAUSE_SECONDS, self._pause * 2)
-        self._pause = TICK_SECONDS if useful else slower
-        self._next_time = now + self._pause
-        peer = longest if longest is not None else known[int(random() * len(known))]
-        self.start_pull(peer)
+        known, idle = self._peers.list_known(), self._is_idle()
+        peer = self._probing.choose(known, idle, queued, random, self._clock())
+        if peer is not None:
+            self.start_pull(peer)
 
     def start_pull(self, peer: int) -> None:
         """Ask one agent, unless a call is under way."""
@@ -52,6 +43,7 @@
 
     def _pull(self, peer: int) -> None:
         try:
-            self._peers.pull(peer, self._is_idle())
+            count = self._peers.pull(peer, self._is_idle())
+            self._probing.note_reply(count, self._clock())
         finally:
             self._pulling = False
--- a/ibisshunt/coordination/requests/sharing.py
+++ b/ibisshunt/coordination/requests/sharing.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from .admission import Admission
+
 # A load that was heard longer ago says nothing any more, in seconds.
 LOAD_AGE_SECONDS: Final = 2.0
 # A peer that failed a call gets nothing for this long, in seconds.
@@ -30,6 +32,19 @@
         return max(0, ahead) * self.service_seconds / max(1, self.slots)
 
 
+def measure_load(admission: Admission, share: float, weight: float) -> Load:
+    """Return the load of an agent that uses ``share`` of its slots.
+
+    ``weight`` is that of its own target. A target that refuses at once looks idle;
+    what was seen of it counts more, so an outlier tells that its slots are taken.
+    """
+    slots = admission.count_usable(share)
+    running, seconds = len(admission.running), admission.service_seconds
+    if weight < 1.0:
+        running, seconds = max(running, slots), seconds / weight
+    return Load(running, admission.queued, slots, seconds, admission.stopping)
+
+
 @dataclass(slots=True)
 class _Peer:
     load: Load
@@ -59,6 +74,10 @@
         peer = self._peers.setdefault(incarnation, _Peer(load, now))
         peer.load, peer.heard, peer.sent = load, now, 0
 
+    def list_heard(self) -> tuple[int, ...]:
+        """Return the agents whose load is known."""
+        return tuple(self._peers)
+
     def set_aside(self, incarnation: int, now: float) -> None:
         """Send nothing for a while to an agent that failed a call."""
         if peer := self._peers.get(incarnation):
--- a/tests/components/requests/test_front.py
+++ b/tests/components/requests/test_front.py
@@ -2,8 +2,11 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 from request_service import RequestService, connect, open_raw, send, wait_for
 
+from ibisshunt.model.address import Address
+
 POST = b"POST /swap HTTP/1.1\r\nHost: b\r\nContent-Length: 4\r\n%s\r\nswap"
 
 
@@ -160,6 +163,28 @@
     assert outcome(reply) == (503, "not-run")
 
 
+@pytest.mark.parametrize(("method", "runs"), [("POST", 0), ("GET", 1)])
+def test_a_request_without_a_key_is_sent_once_unless_it_is_idempotent(
+    service, method, runs
+):
+    # The target closes the connection after it has read the request: nobody knows
+    # whether it ran. A swap may not be tried elsewhere, a look at the roster may.
+    agent = service.agents[0]
+    for _ in range(12):
+        send(agent, "GET")
+    dropped = StreamServer(("127.0.0.1", 0), lambda connection, _: connection.recv(9))
+    dropped.start()
+    wait_for(lambda: agent.requests.dispatcher.sharing.list_heard())
+    agent.requests.dispatcher._client.address = Address(
+        "127.0.0.1", dropped.server_port
+    )
+    before = sum(len(one.target.runs) for one in service.agents)
+    reply = send(agent, method, "/x")
+    assert reply[1]["Ibisshunt-Outcome"] == ("done" if runs else "unknown")
+    assert sum(len(one.target.runs) for one in service.agents) - before == runs
+    dropped.stop()
+
+
 def test_feeds_do_not_eat_slots(service):
     agent = service.agents[0]
     agent.target.mode = "feed"
