Serve callers in the order of deadlines, with a handicap for many requests

Cause: strict turns between callers let a late arrival pass those that waited. Change: one order by deadline; a caller's further requests rank later by the time that the turns of all callers take. Weights are worked out once per observation.

--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -14,12 +14,7 @@
 from ...coordination.requests.budget import RetryBudget
 from ...coordination.requests.outcomes import Attempt
 from ...coordination.requests.sharing import Load, Sharing, measure_load
-from ...coordination.requests.weighting import (
-    Observation,
-    find_share,
-    observe,
-    weigh_targets,
-)
+from ...coordination.requests.weighting import Observations, find_share
 from ...exceptions import RpcError
 from ...helpers.logging import warn_event
 from ...model.record import RequestPolicy
@@ -56,7 +51,7 @@
         self._client = client
         self._clock = clock
         self._jobs: dict[Attempt, Job] = {}
-        self._seen: dict[int, Observation] = {}
+        self._seen = Observations()
         self._handing = 0
         self._prober = Prober(self.peers, self.sharing, self._is_idle, clock)
 
@@ -65,12 +60,11 @@
         self.admission.slots = slots
         self.admission.queue_limit = policy.queue_limit
         self.warm_deadline = warm_deadline
-        known = {self.peers.incarnation, *self.peers.list_known()}
-        self._seen = {one: seen for one, seen in self._seen.items() if one in known}
+        self._seen.keep_only((self.peers.incarnation, *self.peers.list_known()))
 
     def tell_load(self) -> Load:
         """Return the load that travels with each message."""
-        weight = weigh_targets(self._seen).get(self.peers.incarnation, 1.0)
+        weight = self._seen.weights.get(self.peers.incarnation, 1.0)
         return measure_load(self.admission, self._find_share(), weight)
 
     def run(
@@ -118,7 +112,7 @@
     def _choose_peer(self, request: Request) -> int | None:
         if is_feed_wanted(request):
             return None
-        weights = weigh_targets(self._seen)
+        weights = self._seen.weights
         return self.sharing.choose(self.tell_load(), random, self._clock(), weights)
 
     def _run_elsewhere(self, job: Job) -> Iterator[Part]:
@@ -126,7 +120,7 @@
         if not job.target_failed:
             return
         own = replace(self.tell_load(), stopping=True)
-        weights = weigh_targets(self._seen)
+        weights = self._seen.weights
         peer = self.sharing.choose(own, random, self._clock(), weights)
         if peer is not None:
             yield from self._hand(job, peer)
@@ -164,7 +158,7 @@
             yield refuse(Outcome.UNKNOWN, str(error.fault), 1.0)
         finally:
             self._handing -= 1
-            self._note(peer, failed, self._clock() - started)
+            self._seen.note(peer, failed, self._clock() - started)
 
     def _take(
         self, parts: Iterator[Part], deadline: float, is_feed: bool, where: str
@@ -238,7 +232,7 @@
             finally:
                 self.feeds -= is_feed
                 spent = self._clock() - started
-                self._note(self.peers.incarnation, failed, spent)
+                self._seen.note(self.peers.incarnation, failed, spent)
 
     def _is_feed(self, head: Part) -> bool:
         if is_feed_head(head) and self.feeds < MAX_FEEDS:
@@ -324,10 +318,6 @@
         """Count the requests in progress, feeds among them."""
         return len(self._jobs) + self._handing
 
-    def _note(self, incarnation: int, failed: bool, seconds: float) -> None:
-        seen = self._seen.get(incarnation, Observation())
-        self._seen[incarnation] = observe(seen, failed, seconds)
-
     def _find_share(self) -> float:
         return find_share(self.warm_deadline, WARM_UP_SECONDS, time.time())
 
@@ -340,5 +330,5 @@
             "feeds": self.feeds,
             "stopping": self.admission.stopping,
             "service_seconds": self.admission.service_seconds,
-            "weights": weigh_targets(self._seen),
+            "weights": self._seen.weights,
         }
--- a/ibisshunt/coordination/requests/admission.py
+++ b/ibisshunt/coordination/requests/admission.py
@@ -38,14 +38,16 @@
     attempt: Attempt
     caller: str
     deadline: float
-    arrival: int
+    rank: tuple[float, int]
 
 
 class Admission:
     """Hold the slots of one target and the bounded queue before them.
 
-    Of the callers that wait, the one with the fewest requests in slots goes first,
-    then the one that was served least recently; within a caller the nearest deadline.
+    The nearest deadline goes first. A request of a caller that has others waiting ranks
+    as if its deadline were later, by the time that the callers' turns would take: so
+    callers with few requests are served in the order of arrival, and one with many
+    does not hold them up.
     """
 
     def __init__(self, slots: int, queue_limit: int) -> None:
@@ -55,9 +57,8 @@
         self.running: dict[Attempt, str] = {}
         self.service_seconds = FIRST_SERVICE_SECONDS
         self._waiting: dict[Attempt, Waiting] = {}
-        self._by_caller: dict[str, SortedDict] = {}
-        self._served: dict[str, int] = {}
-        self._turn = 0
+        self._order: SortedDict = SortedDict()
+        self._callers: Counter[str] = Counter()
         self._arrivals = 0
 
     @property
@@ -86,12 +87,17 @@
         if refused := self._check(caller, deadline, now, share):
             return refused
         self._arrivals += 1
-        waiting = Waiting(attempt, caller, deadline, self._arrivals)
-        self._waiting[attempt] = waiting
-        queue = self._by_caller.setdefault(caller, SortedDict())
-        queue[(deadline, self._arrivals)] = attempt
+        rank = (deadline + self._find_handicap(caller), self._arrivals)
+        self._waiting[attempt] = Waiting(attempt, caller, deadline, rank)
+        self._order[rank] = attempt
+        self._callers[caller] += 1
         return None
 
+    def _find_handicap(self, caller: str) -> float:
+        """Return the seconds that the caller's waiting requests take in turns."""
+        turn = self.service_seconds * max(1, len(self._callers)) / self.slots
+        return self._callers[caller] * turn if caller in self._callers else 0.0
+
     def _check(
         self, caller: str, deadline: float, now: float, share: float
     ) -> Refused | None:
@@ -104,7 +110,7 @@
         if self.queued >= self.queue_limit:
             return Refused(Refusal.QUEUE_FULL, retry_after)
         # One caller alone may fill half of the queue; the rest is for the others.
-        mine = len(self._by_caller.get(caller, ()))
+        mine = self._callers.get(caller, 0)
         if mine * 2 >= self.queue_limit + 1 and self.queue_limit > 1:
             return Refused(Refusal.CALLER_SHARE, retry_after)
         return None
@@ -117,9 +123,6 @@
         if waiting is None:
             return None
         self.withdraw(waiting.attempt)
-        self._turn += 1
-        self._served[waiting.caller] = self._turn
-        self._forget_idle_callers()
         self.running[waiting.attempt] = waiting.caller
         return waiting
 
@@ -135,10 +138,10 @@
         waiting = self._waiting.pop(attempt, None)
         if waiting is None:
             return False
-        queue = self._by_caller[waiting.caller]
-        del queue[(waiting.deadline, waiting.arrival)]
-        if not queue:
-            del self._by_caller[waiting.caller]
+        del self._order[waiting.rank]
+        self._callers[waiting.caller] -= 1
+        if not self._callers[waiting.caller]:
+            del self._callers[waiting.caller]
         return True
 
     def list_expired(self, now: float) -> tuple[Attempt, ...]:
@@ -146,9 +149,8 @@
         latest = now + self.service_seconds / 2
         return tuple(
             attempt
-            for queue in self._by_caller.values()
-            for (deadline, _), attempt in queue.items()
-            if deadline < latest
+            for attempt, waiting in self._waiting.items()
+            if waiting.deadline < latest
         )
 
     def finish(self, attempt: Attempt, seconds: float | None) -> None:
@@ -160,21 +162,6 @@
             self.service_seconds += SMOOTHING * change
 
     def _pick(self) -> Waiting | None:
-        if not self._by_caller:
+        if not self._order:
             return None
-        busy = Counter(self.running.values())
-        caller = min(
-            self._by_caller,
-            key=lambda name: (
-                busy[name],
-                self._served.get(name, 0),
-                self._by_caller[name].peekitem(0)[0],
-            ),
-        )
-        return self._waiting[self._by_caller[caller].peekitem(0)[1]]
-
-    def _forget_idle_callers(self) -> None:
-        """Bound the memory of who was served when."""
-        if len(self._served) > 4 * self.queue_limit + 64:
-            kept = sorted(self._served.items(), key=lambda item: item[1])
-            self._served = dict(kept[len(kept) // 2 :])
+        return self._waiting[self._order.peekitem(0)[1]]
--- a/ibisshunt/coordination/requests/weighting.py
+++ b/ibisshunt/coordination/requests/weighting.py
@@ -1,5 +1,6 @@
 """Decide how much of its share a target gets, from what was seen of it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -30,6 +31,33 @@
     return Observation(failures, mean, found.count + 1)
 
 
+class Observations:
+    """Hold what this agent saw of each target, and the weights that follow."""
+
+    def __init__(self) -> None:
+        self._seen: dict[int, Observation] = {}
+        self._weights: dict[int, float] | None = None
+
+    def note(self, target: int, failed: bool, seconds: float) -> None:
+        """Take in one answer or refusal."""
+        found = self._seen.get(target, Observation())
+        self._seen[target] = observe(found, failed, seconds)
+        self._weights = None
+
+    def keep_only(self, targets: Iterable[int]) -> None:
+        """Forget targets that are no longer members."""
+        wanted = set(targets)
+        self._seen = {one: seen for one, seen in self._seen.items() if one in wanted}
+        self._weights = None
+
+    @property
+    def weights(self) -> dict[int, float]:
+        """Return the weight of each target that was seen."""
+        if self._weights is None:
+            self._weights = weigh_targets(self._seen)
+        return self._weights
+
+
 def weigh_targets(observations: dict[int, Observation]) -> dict[int, float]:
     """Return the weight of each target in 0.1-1.
 
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the parts; each module prints JSON."""
