Offer a bounded open-loop load and report it as text and plot

Cause: queues and refusals have to be seen under a load that does not slow down with the service. Two others at random are compared on arrival in place of one.

--- /dev/null
+++ b/ibisshunt/components/load/__init__.py
@@ -0,0 +1,14 @@
+"""Offer a bounded load to a service and report what callers saw."""
+
+from .command import load
+from .generator import LoadPlan, LoadResult, run_load
+from .report import render_plot, render_report
+
+__all__ = [
+    "LoadPlan",
+    "LoadResult",
+    "load",
+    "render_plot",
+    "render_report",
+    "run_load",
+]
--- /dev/null
+++ b/ibisshunt/components/load/report.py
@@ -0,0 +1,50 @@
+"""Render what a load saw as text and as a plot."""
+
+from typing import Final
+
+import pygal
+
+from .generator import LoadPlan, LoadResult
+
+QUANTILES: Final = (50.0, 90.0, 99.0, 99.9, 100.0)
+PLOT_STEPS: Final = 200
+
+
+def render_report(plan: LoadPlan, result: LoadResult) -> str:
+    """Return the report as lines of text; latencies in milliseconds."""
+    total = sum(result.outcomes.values())
+    lines = [
+        f"offered {plan.rate:g}/s, sent {total} in {result.seconds:.1f} s, "
+        f"skipped {result.skipped}",
+        "outcome        count  share " + " ".join(f"{_label(q):>9}" for q in QUANTILES),
+    ]
+    for outcome, count in result.outcomes.most_common():
+        latencies = result.latencies[outcome]
+        values = [latencies.get_value_at_percentile(q) / 1000 for q in QUANTILES]
+        cells = " ".join(f"{value:9.1f}" for value in values)
+        lines.append(f"{outcome:<12} {count:>7} {count / total:6.1%} {cells}")
+    if result.skipped:
+        lines.append("skipped: too many requests were in flight; offer less")
+    return "\n".join(lines)
+
+
+def render_plot(plan: LoadPlan, result: LoadResult) -> bytes:
+    """Return an SVG of latency by quantile, one line an outcome."""
+    chart = pygal.XY(
+        title=f"Latency at {plan.rate:g} requests/s",
+        x_title="share of requests in %",
+        y_title="milliseconds",
+        dots_size=1,
+        js=(),
+    )
+    for outcome, latencies in sorted(result.latencies.items()):
+        points = [
+            (share, latencies.get_value_at_percentile(share) / 1000)
+            for share in (100.0 * step / PLOT_STEPS for step in range(PLOT_STEPS + 1))
+        ]
+        chart.add(outcome, points)
+    return chart.render()
+
+
+def _label(quantile: float) -> str:
+    return "max" if quantile == 100.0 else f"p{quantile:g}/ms"
--- a/ibisshunt/coordination/requests/sharing.py
+++ b/ibisshunt/coordination/requests/sharing.py
@@ -32,6 +32,9 @@
         return max(0, ahead) * self.service_seconds / max(1, self.slots)
 
 
+CHOICES: Final = 2
+
+
 def measure_load(admission: Admission, share: float, weight: float) -> Load:
     """Return the load of an agent that uses ``share`` of its slots.
 
@@ -92,23 +95,28 @@
     ) -> int | None:
         """Return the agent that should run a new request, None for this one.
 
-        Two choices: this agent and one other at random. What was sent since the other
+        Two others at random are compared with this agent. What was sent since the other
         was last heard counts as its load, else all would rush to the one that was idle
         a moment ago.
         """
+        if own.wait <= 0 and not own.stopping:
+            return None
         usable = [one for one in self._peers if self._is_usable(one, now)]
-        if not usable or (own.wait <= 0 and not own.stopping):
+        if not usable:
             return None
-        chosen = usable[int(draw() * len(usable))]
-        peer = self._peers[chosen]
-        weight = max(0.05, weights.get(chosen, 1.0))
-        mean = peer.load.service_seconds / max(1, peer.load.slots)
-        wait = (peer.load.wait + peer.sent * mean) / weight
+        drawn = {usable[int(draw() * len(usable))] for _ in range(CHOICES)}
+        wait, chosen = min((self._estimate(one, weights), one) for one in drawn)
         if wait >= own.wait and not own.stopping:
             return None
-        peer.sent += 1
+        self._peers[chosen].sent += 1
         return chosen
 
+    def _estimate(self, incarnation: int, weights: dict[int, float]) -> float:
+        peer = self._peers[incarnation]
+        mean = peer.load.service_seconds / max(1, peer.load.slots)
+        weight = max(0.05, weights.get(incarnation, 1.0))
+        return (peer.load.wait + peer.sent * mean) / weight
+
     def find_longest(self, now: float) -> int | None:
         """Return the agent with the longest wait, for an idle one to pull from."""
         waiting = [
