--- a/ibisshunt/coordination/consensus/replication.py
+++ b/ibisshunt/coordination/consensus/replication.py
@@ -96,7 +96,9 @@
         progress.unanswered = 0
         advance_commit(state, now)
     elif message.previous_index > progress.match:
-        wanted = min(message.match + 1, message.previous_index)
+        # Several batches are on their way: the refusal of a later one must not undo
+        # what an earlier one told, or the two take turns and the member never gets on.
+        wanted = min(progress.next, message.match + 1, message.previous_index)
         progress.next = max(progress.match + 1, wanted)
         progress.unanswered = 0
     check_transfer(state)
--- a/tests/components/consensus/hosts.py
+++ b/tests/components/consensus/hosts.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import replace
 
 from returns.pipeline import is_successful
 
@@ -117,7 +118,8 @@
 
     def __init__(self, count, seed=0, settings=SETTINGS, snapshot_entries=10):
         self.random = random.Random(seed)
-        self.settings = settings
+        batch = self.random.randint(1, settings.max_batch_entries)
+        self.settings = replace(settings, max_batch_entries=batch)
         self.snapshot_entries = snapshot_entries
         self.disks = 0
         self.ids = {}
@@ -171,6 +173,79 @@
                 host.step()
         self.admit_newcomers()
 
+    def storm(self, steps, crash_rate=0.03, take_rate=0.5):
+        """Let single hosts act in any order, each by a clock of its own.
+
+        Every step a random host takes a random part of its messages, in any order and
+        at times again later; it may lose power at any of its next writes.
+        """
+        haste = self.random.choice((0.01, 0.05, 0.2))
+        change = self.random.choice((0.005, 0.02, 0.05))
+        paused = []
+        for _ in range(steps):
+            if self.random.random() < change:
+                paused = self.leave_out()
+            host = self.random.choice(self.hosts)
+            if host.driver is None and self.random.random() < 0.3:
+                host.start()
+            if host in paused or host.driver is None:
+                continue
+            host.clock += self.random.choice((0.0, 0.0, 0.05, 0.05, 0.1))
+            if self.random.random() < haste:
+                host.clock += 3.0
+            if self.random.random() < crash_rate:
+                host.files.crash_after = self.random.randint(0, 3)
+            self.take(host, take_rate)
+            self.act(host)
+            del self.network[:-200]
+            self.check_all()
+        self.partition()
+
+    def leave_out(self):
+        """Pause or cut off another minority, so that the majorities take turns."""
+        size = self.random.randint(0, len(self.hosts) // 2)
+        found = self.random.sample(self.hosts, size)
+        if self.random.random() < 0.5:
+            self.partition()
+            return found
+        self.partition([host.name for host in found])
+        return []
+
+    def act(self, host):
+        """Let one host do one of the things that a host does."""
+        chance = self.random.random()
+        if chance < 0.2:
+            self.propose(host)
+        elif chance < 0.3:
+            self.read(host)
+        elif chance < 0.31:
+            host.step(Transfer())
+        elif chance < 0.33 and self.may_lose_disk():
+            self.replace(host)
+        elif chance < 0.4:
+            self.admit_newcomers()
+        else:
+            host.step()
+
+    def take(self, host, rate):
+        """Move some of the messages for a host into its inbox."""
+        self.random.shuffle(self.network)
+        left = []
+        for envelope in self.network:
+            sender = self.ids[envelope.sender]
+            mine = envelope.receiver == host.driver.host
+            if (
+                not mine
+                or not self.can_reach(sender, host)
+                or self.random.random() > rate
+            ):
+                left.append(envelope)
+                continue
+            host.inbox.append(envelope)
+            if self.random.random() < 0.1:
+                left.append(envelope)
+        self.network = left
+
     def deliver(self, reorder=False):
         waiting, self.network = self.network, []
         if reorder:
--- a/tests/components/consensus/test_machine.py
+++ b/tests/components/consensus/test_machine.py
@@ -6,7 +6,7 @@
 
 import os
 
-from hypothesis import settings, strategies as st
+from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tests.components.consensus.hosts import Hosts
@@ -36,6 +36,14 @@
     def run(self, seconds, reorder):
         self.hosts.run(seconds, reorder)
 
+    @rule(
+        steps=st.integers(20, 200),
+        crash_rate=st.sampled_from((0.0, 0.02, 0.1)),
+        take_rate=st.sampled_from((0.3, 0.6, 0.95)),
+    )
+    def storm(self, steps, crash_rate, take_rate):
+        self.hosts.storm(steps, crash_rate, take_rate)
+
     @rule(place=PLACES, count=st.integers(1, 6))
     def propose(self, place, count):
         for _ in range(count):
@@ -115,6 +123,18 @@
     count = 5
 
 
+@settings(max_examples=20_000 if LONG else 100)
+@given(
+    st.integers(0, 2**32), st.sampled_from((3, 5)), st.sampled_from((0.0, 0.02, 0.1))
+)
+def test_storms_lose_and_revert_nothing(seed, count, crash_rate):
+    hosts = Hosts(count, seed)
+    hosts.found()
+    hosts.run(2.0)
+    hosts.storm(400, crash_rate)
+    hosts.settle()
+
+
 TestThreeHosts = Machine.TestCase
 TestThreeHosts.settings = BUDGET
 TestFiveHosts = LargeMachine.TestCase
