--- a/ibisshunt/components/consensus/driver.py
+++ b/ibisshunt/components/consensus/driver.py
@@ -35,6 +35,8 @@
 SNAPSHOT_ENTRIES = 1_000
 SNAPSHOT_BYTES = 16 * 1024 * 1024
 KEPT_TIMINGS = 8_192
+# Ticket of a request that no caller waits for.
+NO_TICKET = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,7 @@
         self._pending: dict[int, Pending] = {}
         self._reads: list[tuple[int, int]] = []
         self._seen: tuple[Any, ...] = ()
+        self._told = ""
         if recovered.snapshot is not None:
             self._restore(recovered.snapshot)
 
@@ -139,10 +142,17 @@
         for envelope in out.promises:
             self._deliver(envelope)
         for refused in out.refused:
-            self._answer(refused.ticket, Failure(_explain_refusal(refused)))
+            self._refuse(refused)
         self._reads += [(ready.index, ready.ticket) for ready in out.reads]
         self._apply()
 
+    def _refuse(self, refused: Refused) -> None:
+        fault = NotAccepted("take request", "", refused.reason)
+        self._answer(refused.ticket, Failure(fault))
+        if refused.ticket == NO_TICKET and refused.reason != self._told:
+            self._told = refused.reason
+            log_event("host_not_admitted", reason=refused.reason)
+
     def _register(self, out: Outputs) -> None:
         for appended in out.appended:
             pending = Pending(appended.ticket, appended.term, self._clock())
@@ -177,6 +187,8 @@
             reply = b""
             if entry.kind is EntryKind.COMMAND:
                 reply = self._machine.apply(entry.index, entry.command)
+            elif entry.membership is not None:
+                _log_membership(entry)
             self.applied = entry.index
             self._settle(entry, reply, committed_at)
         ready = [ticket for index, ticket in self._reads if index <= self.applied]
@@ -260,5 +272,13 @@
     )
 
 
-def _explain_refusal(refused: Refused) -> Fault:
-    return NotAccepted("propose", "", refused.reason)
+def _log_membership(entry: Entry) -> None:
+    members = entry.membership.members if entry.membership else ()
+    voters = ",".join(member.host for member in members if member.voter)
+    learners = ",".join(member.host for member in members if not member.voter)
+    log_event(
+        "membership_changed",
+        index=entry.index,
+        voters=voters,
+        learners=learners or "-",
+    )
--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -37,6 +37,7 @@
         self._make_channel = make_channel
         self._give = give
         self.names = tuple(sorted({name, *peers}))
+        self._told = ""
 
     def run(self, is_done: Callable[[], bool]) -> None:
         """Introduce this host to all peers until it belongs to a cluster."""
@@ -46,6 +47,7 @@
         try:
             while not is_done():
                 replies = self._greet(channels)
+                self._tell(replies)
                 if event := self._decide(replies):
                     log_event("cluster_founded", cluster=event.cluster, host=self._host)
                     self._give(event)
@@ -64,6 +66,25 @@
                 continue
         return replies
 
+    def _tell(self, replies: Mapping[str, HelloReply]) -> None:
+        """Log once what this host waits for."""
+        silent = ",".join(sorted(set(self._peers) - set(replies)))
+        members = sorted(name for name, reply in replies.items() if reply.cluster)
+        others = sorted(
+            name for name, reply in replies.items() if reply.names != self.names
+        )
+        told = f"{silent}|{members}|{others}"
+        if told == self._told:
+            return
+        self._told = told
+        log_event(
+            "waiting_for_cluster",
+            host=self._host,
+            silent=silent or "-",
+            members=",".join(members) or "-",
+            other_peer_settings=",".join(others) or "-",
+        )
+
     def _decide(self, replies: Mapping[str, HelloReply]) -> Found | None:
         """Found a cluster only when every host is there and none has ever had one.
 
--- a/ibisshunt/components/consensus/links.py
+++ b/ibisshunt/components/consensus/links.py
@@ -33,7 +33,7 @@
         self.lost = 0
         self._mailbox: Mailbox[Envelope] = Mailbox(WAITING_ENVELOPES)
         self._channel = make_channel(address)
-        self._reachable = True
+        self.is_reachable = True
 
     def deliver(self, envelope: Envelope) -> None:
         """Queue an envelope; lose it when too many wait."""
@@ -73,9 +73,9 @@
         return tuple(found)
 
     def _note(self, reachable: bool, reason: str) -> None:
-        if reachable == self._reachable:
+        if reachable == self.is_reachable:
             return
-        self._reachable = reachable
+        self.is_reachable = reachable
         if reachable:
             log_event("control_host_reachable", peer=self.address)
         else:
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -303,6 +303,10 @@
         address = self.leader_address()
         if address is None:
             return _refuse("no leader is known")
+        if not self.links.find(address).is_reachable:
+            # Nothing is sent, so the caller need not be told "unknown" for as long as
+            # it takes to elect the next leader.
+            return _refuse(f"the leader at {address} does not answer")
         return self._forward(address, command, left)
 
     def _forward(
--- a/ibisshunt/components/consensus/serving.py
+++ b/ibisshunt/components/consensus/serving.py
@@ -23,10 +23,9 @@
     unpack,
 )
 from ...protocol.rpc import Method
+from .driver import NO_TICKET
 from .replicated_log import ReplicatedLog
 
-NO_TICKET = 0
-
 
 def make_handlers(log: ReplicatedLog) -> Mapping[Method, Callable[..., Any]]:
     """Return the handlers that the host must serve at its rpc address."""
