--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -28,6 +28,7 @@
         address: Address,
         peers: Mapping[str, Address],
         make_channel: Callable[[Address], Channel],
+        find_cluster: Callable[[], str],
         give: Callable[[Event], bool],
     ) -> None:
         self._name = name
@@ -35,12 +36,13 @@
         self._address = address
         self._peers = peers
         self._make_channel = make_channel
+        self._find_cluster = find_cluster
         self._give = give
         self.names = tuple(sorted({name, *peers}))
         self._told = ""
 
     def run(self, is_done: Callable[[], bool]) -> None:
-        """Introduce this host to all peers until it belongs to a cluster."""
+        """Introduce this host to all peers until it is a member."""
         channels = {
             name: self._make_channel(address) for name, address in self._peers.items()
         }
@@ -57,7 +59,9 @@
                 channel.close()
 
     def _greet(self, channels: Mapping[str, Channel]) -> dict[str, HelloReply]:
-        request = HelloRequest(self._host, str(self._address), "", self.names)
+        request = HelloRequest(
+            self._host, str(self._address), self._find_cluster(), self.names
+        )
         replies: dict[str, HelloReply] = {}
         for name, channel in channels.items():
             try:
@@ -92,7 +96,9 @@
         would start a second history beside the first. The lowest name founds, so that
         only one does.
         """
-        if self._name != self.names[0] or set(replies) != set(self._peers):
+        if self._find_cluster() or self._name != self.names[0]:
+            return None
+        if set(replies) != set(self._peers):
             return None
         if any(
             reply.cluster or reply.names != self.names for reply in replies.values()
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -21,7 +21,7 @@
     Tick,
     Transfer,
 )
-from ...coordination.consensus.membership import name_of
+from ...coordination.consensus.membership import name_of, needs_admission
 from ...coordination.consensus.state import Event
 from ...exceptions import Fault, RpcError
 from ...helpers.logging import log_event, warn_event
@@ -104,6 +104,7 @@
             settings.rpc,
             settings.peers,
             options.make_channel,
+            self._find_cluster,
             self.give,
         )
         self._channels: dict[Address, Channel] = {}
@@ -190,9 +191,9 @@
     def start(self) -> None:
         """Begin to take part; the handlers must be served by then."""
         self._loop = self._spawn("replicated log", self._run)
-        if not self.driver.state.hard.cluster:
+        if not self._is_member():
             self._tasks.append(
-                self._spawn("join cluster", self.joiner.run, self._has_cluster)
+                self._spawn("join cluster", self.joiner.run, self._is_member)
             )
 
     def stop(self) -> None:
@@ -275,8 +276,11 @@
         else:
             log_event("disk_has_room", free_bytes=free)
 
-    def _has_cluster(self) -> bool:
-        return bool(self.driver.state.hard.cluster)
+    def _find_cluster(self) -> str:
+        return self.driver.state.hard.cluster
+
+    def _is_member(self) -> bool:
+        return not needs_admission(self.driver.state)
 
     def _must_linger(self) -> bool:
         if self._loop is None or self._loop.dead:
--- a/ibisshunt/components/consensus/serving.py
+++ b/ibisshunt/components/consensus/serving.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 
 from ...coordination.consensus import Admit, Received
-from ...coordination.consensus.membership import name_of
+from ...coordination.consensus.membership import find_member, name_of
 from ...helpers.logging import warn_event
 from ...model.address import parse_address
 from ...protocol.consensus import (
@@ -53,7 +53,11 @@
 
 def _admit(log: ReplicatedLog, request: HelloRequest) -> None:
     """Offer a new host to the leader when the settings know its name."""
-    if request.cluster or not log.is_leading():
+    state = log.driver.state
+    is_ours = request.cluster in ("", state.hard.cluster)
+    if not is_ours or not log.is_leading():
+        return
+    if find_member(state.log.membership, request.host) is not None:
         return
     if name_of(request.host) not in log.joiner.names:
         warn_event("unknown_host_refused", peer=request.host, address=request.address)
--- a/ibisshunt/coordination/consensus/membership.py
+++ b/ibisshunt/coordination/consensus/membership.py
@@ -48,6 +48,16 @@
     return member is not None and member.voter
 
 
+def needs_admission(state: HostState) -> bool:
+    """Tell whether this host must ask to be admitted.
+
+    Only a committed admission counts: the leader that took the request may be deposed
+    and its entry replaced, after which nobody would send this host anything.
+    """
+    membership = state.log.membership_at(state.commit)
+    return find_member(membership, state.host) is None
+
+
 def sync_progress(state: HostState) -> None:
     """Keep one progress for each other member while this host leads."""
     hosts = [member.host for member in state.log.membership.members]
--- a/ibisshunt/protocol/consensus.py
+++ b/ibisshunt/protocol/consensus.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HelloRequest:
-    """Introduce a host; one without a cluster asks to be founded with or admitted.
+    """Introduce a host that is no member and asks to be founded with or admitted.
 
     ``names`` are all hosts that its settings know, in order.
     """
--- a/tests/components/consensus/hosts.py
+++ b/tests/components/consensus/hosts.py
@@ -23,6 +23,7 @@
     Tick,
     Transfer,
 )
+from ibisshunt.coordination.consensus.membership import needs_admission
 from tests.components.storage.memory_files import CrashError, MemoryFiles
 
 TICK_SECONDS = 0.05
@@ -293,12 +294,15 @@
 
     def admit_newcomers(self):
         for host in self.hosts:
-            if host.driver is not None and not host.driver.state.hard.cluster:
+            if host.driver is not None and needs_admission(host.driver.state):
                 self.admit(host)
 
     def admit(self, host):
         leader = self.find_leader()
-        if leader is not None and host.driver is not None:
+        if leader is None or host.driver is None or not self.can_reach(host, leader):
+            return
+        members = leader.driver.state.log.membership.members
+        if host.driver.host not in {member.host for member in members}:
             leader.step(Admit(0, host.driver.host, ""))
 
     def remove(self, identity):
--- a/tests/components/consensus/test_failures.py
+++ b/tests/components/consensus/test_failures.py
@@ -228,6 +228,24 @@
     hosts.settle()
 
 
+def test_hazard_14_no_entry_is_confirmed_before_it_is_synced():
+    # A follower takes an entry and loses power before it is on disk. Had it confirmed
+    # the entry, leader and caller would count on a copy that is gone.
+    hosts = make_hosts(3)
+    leader = hosts.find_leader()
+    hosts.run(1.0)
+    hosts.network.clear()
+    hosts.propose(leader)
+    follower = find_others(hosts, leader)[0]
+    identity = follower.driver.host
+    hosts.deliver()
+    follower.files.crash_after = 1
+    follower.step()
+    assert follower.driver is None
+    assert not [found for found in hosts.network if found.sender == identity]
+    hosts.settle()
+
+
 def test_hazard_15_a_leader_that_was_paused_steps_down_first():
     # The leader's process is stopped for ten seconds (a live migration, a debugger).
     # When it runs again, old answers lie in its mailbox and it still thinks it leads.
@@ -252,19 +270,24 @@
 
 
 def test_hazard_15_old_answers_do_not_prolong_a_lead():
-    # Only answers to old rounds reach the leader: they show that the others lived
-    # then, not now. A lead counted from their arrival would never end.
+    # Answers lay in a queue for longer than the election timeout. They show that the
+    # others lived then, not now: a lead counted from their arrival would go on while
+    # the others have long elected someone else.
     hosts = make_hosts(3)
     leader = hosts.find_leader()
     hosts.run(1.0)
+    hosts.network.clear()
+    leader.clock += 0.25
+    leader.step()
     hosts.deliver()
-    kept = list(leader.inbox)
-    leader.inbox = []
-    for _ in range(40):
-        leader.clock += 0.05
-        leader.inbox = list(kept)
-        leader.step()
-        hosts.network.clear()
+    for host in find_others(hosts, leader):
+        host.step()
+    hosts.deliver()
+    leader.clock += 0.45
+    leader.step()
+    assert role_of(leader) is Role.LEADER
+    leader.clock += 0.8
+    leader.step()
     assert role_of(leader) is not Role.LEADER
 
 
@@ -328,15 +351,39 @@
     # Found by a storm (seed 133 of a trial): a member's log ended in entries that
     # were never accepted. The refusals of two batches took turns in telling the
     # leader where to go on, and the member never got any further.
-    hosts = make_hosts(3)
+    hosts = make_hosts(3, snapshot_entries=100)
     accept(hosts, 4)
     old = hosts.find_leader()
     hosts.partition([old.name])
     for _ in range(4):
         hosts.propose(old)
     hosts.run(6.0)
-    accept(hosts, 4)
+    accept(hosts, 14)
     hosts.partition()
     hosts.run(3.0)
     assert old.applied == hosts.find_leader().applied
     hosts.settle()
+
+
+def test_a_newcomer_asks_again_when_its_admission_was_lost():
+    # Found by a storm (seed 996 of a trial): the leader that admitted an empty disk
+    # was deposed, and the next one knew nothing of it. The newcomer had heard of the
+    # cluster, asked no more, and stayed outside for ever.
+    hosts = make_hosts(5)
+    accept(hosts, 3)
+    old = hosts.find_leader()
+    empty, *others = find_others(hosts, old)
+    empty.crash()
+    hosts.run(2.0)
+    hosts.partition([old.name, empty.name], [host.name for host in others])
+    hosts.replace(empty)
+    hosts.admit_newcomers()
+    for _ in range(8):
+        hosts.deliver()
+        empty.step()
+        old.clock += 0.05
+        old.step()
+    assert empty.driver.state.hard.cluster
+    hosts.run(6.0)
+    accept(hosts, 2)
+    hosts.settle()
