--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -44,7 +44,9 @@
     in ``send`` stands for the network: it loses nothing unless ``lost`` says so.
     """
 
-    def __init__(self, targets=4, balancers=2, start=1000.0, warm=True, **service):
+    def __init__(
+        self, targets=4, balancers=2, start=1000.0, warm=True, max_flows=1000, **service
+    ):
         self.now = start
         self.revision = 0
         self.service = make_service(**service)
@@ -55,7 +57,7 @@
         self.lose_notices = False
         self.next_incarnation = 1
         for number in range(1, targets + 1):
-            self.add(f"t{number}")
+            self.add(f"t{number}", max_flows)
         self.balancers = [Router() for _ in range(balancers)]
         self.spread()
         if warm:
