Keep agents from holding a flow that another took

Change: an adopted flow yields to who took it; guesses are not recalled; an agent that takes a flow against another's table asks first; a new place adopts nothing. A service of one target has no peer to remember, so that a repeated SYN after a roll is left out there.

--- a/ibisshunt/coordination/flows/handover.py
+++ b/ibisshunt/coordination/flows/handover.py
@@ -1,6 +1,7 @@
 """Tell other agents who owns which flows, and ask them after a restart."""
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Final
 
 from ...protocol.datagram import (
@@ -10,9 +11,11 @@
     PointerList,
     pack_pointers,
     pack_recall,
+    pack_recalled,
     read_load,
     read_pointers,
     read_recall,
+    read_recalled,
 )
 from .ranking import find_bucket
 from .state import OwnerState
@@ -53,14 +56,32 @@
     return peers[:COPIES]
 
 
+def start_recall(state: OwnerState, now: float) -> None:
+    """Ask all peers for the flows that a former agent of this target owned.
+
+    Suspects are asked as well, but not waited for: they may be dead.
+    """
+    peers = {
+        one.incarnation
+        for one in state.table.targets
+        if one.incarnation != state.incarnation
+    }
+    suspects = {one.incarnation for one in state.table.targets if one.is_suspect}
+    state.recall.start(peers - suspects, now)
+    _ask(state, peers)
+
+
 def ask_for_flows(state: OwnerState) -> None:
-    """Ask all peers for the flows that a former agent of this target owned."""
-    for peer in state.table.targets:
-        if peer.incarnation != state.incarnation:
-            state.send(
-                peer,
-                pack_recall(_make_return_head(state, peer.incarnation), state.place),
-            )
+    """Ask those peers again that have not answered."""
+    _ask(state, state.recall.list_waiting())
+
+
+def _ask(state: OwnerState, peers: set[int]) -> None:
+    for incarnation in sorted(peers):
+        peer = state.table.by_incarnation.get(incarnation)
+        if peer is not None:
+            head = _make_return_head(state, incarnation)
+            state.send(peer, pack_recall(head, state.place))
 
 
 def _make_return_head(state: OwnerState, incarnation: int) -> Header:
@@ -111,6 +132,9 @@
         return _receive_recalled(state, found, now)
     owner = Owner(found.owner, found.place, found.pair, header.revision)
     for key in found.keys:
+        if state.flows.is_adopted(key):
+            # The peer took the flow from its first packet on, or was told so.
+            state.flows.remove(key)
         # A flow of this agent's own stays its own: the peer's entry is of an older
         # flow on the same ports.
         if key not in state.flows:
@@ -120,8 +144,9 @@
 
 def _receive_recalled(state: OwnerState, found: PointerList, now: float) -> str:
     """Own the flows again that a former agent of this target owned."""
-    if not state.is_recalling(now):
+    if not state.recall.is_open(now):
         return "recall_late"
+    state.recall.count(found.owner, len(found.keys))
     for key in found.keys:
         if key not in state.flows and state.flows.has_room():
             state.flows.touch(key, 0, now, state.idle)
@@ -139,8 +164,21 @@
     head = Header(DatagramKind.POINTER, 0, number, revision, header.origin)
     for start in range(0, len(keys), MAX_KEYS):
         part = tuple(keys[start : start + MAX_KEYS])
-        pointers = PointerList(header.origin, place, header.reply_to, part)
+        pointers = PointerList(state.incarnation, place, header.reply_to, part)
         state.send_to(header.reply_to, pack_pointers(head, pointers))
+    verdict = state.places.judge(place, header.origin)
+    last = replace(head, origin=state.incarnation)
+    state.send_to(header.reply_to, pack_recalled(last, len(keys), verdict))
+    return ""
+
+
+def _finish_recall(
+    state: OwnerState, header: Header, payload: bytes, now: float
+) -> str:
+    found = read_recalled(payload).value_or(None)
+    if found is None:
+        return "malformed"
+    state.recall.finish(header.origin, *found)
     return ""
 
 
@@ -150,4 +188,5 @@
     DatagramKind.LOAD: _receive_load,
     DatagramKind.REVISION: _receive_revision,
     DatagramKind.RECALL: _answer_recall,
+    DatagramKind.RECALLED: _finish_recall,
 }
--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -33,11 +33,21 @@
     if first.incarnation not in header.visited:
         return state.forward_to(arrival, first, header.flags)
     # The first choice has seen it and thinks otherwise: the tables disagree.
-    return _take_or_pass(state, arrival)
+    if not state.takes_new_work():
+        return _take_or_pass(state, arrival)
+    return _seek(state, arrival)
 
 
 def _open_as_first(state: OwnerState, arrival: Arrival) -> Action:
-    if not _must_seek(state, arrival):
+    if not state.has_moved(arrival.key, arrival.now):
+        return _settle(state, arrival)
+    return _seek(state, arrival)
+
+
+def _seek(state: OwnerState, arrival: Arrival) -> Action:
+    """Ask the other agents whether one of them owns the flow, before taking it."""
+    deadline = state.sought.find(arrival.key)
+    if deadline is not None and arrival.now >= deadline:
         return _settle(state, arrival)
     # A SYN that comes again through another balancer, or on the ports of an older
     # flow, must find the agent that has the flow: two targets would answer otherwise,
@@ -46,18 +56,11 @@
     target = _find_next_asked(state, asking)
     if target is None:
         return _settle(state, arrival)
-    if state.sought.find(arrival.key) is None:
+    if deadline is None:
         state.sought.add(arrival.key, arrival.now + SEEK_PATIENCE_SECONDS)
     return state.forward_to(asking, target, arrival.header.flags | SEEKING)
 
 
-def _must_seek(state: OwnerState, arrival: Arrival) -> bool:
-    if not state.has_moved(arrival.key, arrival.now):
-        return False
-    deadline = state.sought.find(arrival.key)
-    return deadline is None or arrival.now < deadline
-
-
 def _find_next_asked(state: OwnerState, arrival: Arrival) -> Target | None:
     """Return whom to ask next whether it owns the flow.
 
--- a/ibisshunt/coordination/flows/owner.py
+++ b/ibisshunt/coordination/flows/owner.py
@@ -1,21 +1,17 @@
 """Decide what an agent does with each packet: deliver, forward, reset or drop."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from ...protocol.datagram import BY_POINTER, KNOWN_ONLY, Header
 from ...protocol.packet import ICMP_ERROR, OPENS, TCP
 from .actions import DELIVER, Action, Notice
-from .handover import ask_for_flows, hand_over, receive_notice
+from .handover import ask_for_flows, hand_over, receive_notice, start_recall
 from .loads import tell_load
 from .openings import open_flow
 from .state import Arrival, OwnerState, drop
 from .strays import find_owner, follow_pointer
 from .table import ServiceTable
 
-# After its start an agent waits this long for its peers to name its flows.
-RECALL_SECONDS: Final = 0.4
-
 
 class FlowOwner:
     """Own the flows of one target and find the owners of all others.
@@ -27,16 +23,12 @@
     def __init__(self, max_flows: int, now: float) -> None:
         self.state = OwnerState(max_flows, now)
         self._turn = 0
-        self._recalls = False
 
     def update(self, table: ServiceTable, incarnation: int, now: float) -> None:
         """Take a table and the agent's own incarnation into force."""
         self.state.update(table, incarnation, now)
-        if self._recalls or self.state.own is None:
-            return
-        self._recalls = True
-        self.state.recall_deadline = now + RECALL_SECONDS
-        self.recall(now)
+        if not self.state.recall.asked and self.state.own is not None:
+            start_recall(self.state, now)
 
     def set_leaving(self, leaving: bool) -> None:
         """Take no new flows from now on, whatever the table says."""
@@ -83,7 +75,7 @@
 
     def _handle_unknown(self, arrival: Arrival) -> Action:
         state, header = self.state, arrival.header
-        if state.is_recalling(arrival.now) and not arrival.opens_tcp:
+        if state.recall.is_open(arrival.now) and not arrival.opens_tcp:
             # The peers' answers may name the flow in a moment. Sent along the chain
             # now, it could be adopted by another agent that has restarted as well.
             return drop("recalling")
@@ -110,7 +102,7 @@
 
     def recall(self, now: float) -> None:
         """Ask the peers again for the flows of a former agent of this target."""
-        if self.state.is_recalling(now):
+        if self.state.recall.is_open(now):
             ask_for_flows(self.state)
 
     def tell_load(self) -> None:
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -18,6 +18,7 @@
 from .callers import make_caller_check
 from .hunting import PeerLoads
 from .ranking import BUCKETS, find_bucket, identify_place
+from .recall import PlaceMemory, Recall
 from .store import DeadlineStore, FlowStore, Owner, PointerStore
 from .table import ServiceTable
 
@@ -60,7 +61,8 @@
         self.leaving = False
         self.incarnation = 0
         self.wanted_revision = 0
-        self.recall_deadline = 0.0
+        self.recall = Recall()
+        self.places = PlaceMemory()
         self.table: ServiceTable | None = None
         self.idle = 0.0
         self.admit = make_caller_check(())
@@ -77,6 +79,7 @@
         self.admit = make_caller_check(table.slice.service.callers)
         if self.own is not None:
             self.place = identify_place(self.own)
+        self.places.note(table.targets)
         self.loads.keep_only(set(table.by_incarnation))
         firsts = table.list_firsts()
         known = self._firsts or firsts
@@ -100,11 +103,7 @@
 
         Each of them sends a packet within the idle timeout or is expired anyway.
         """
-        return now < self._started + self.idle
-
-    def is_recalling(self, now: float) -> bool:
-        """Tell whether the peers may still be naming flows of this target."""
-        return now < self.recall_deadline
+        return now < self._started + self.idle and not self.recall.is_fresh()
 
     def has_moved(self, key: bytes, now: float) -> bool:
         """Tell whether older flows of the bucket may be owned elsewhere.
@@ -148,14 +147,25 @@
             # now, because the chain that they see need not lead here.
             for target in self.table.find_chain(find_bucket(key)):
                 self.tell(target, [key])
+            return DELIVER
+        # Whoever passed the flow to one that passed it on guessed wrong.
+        for incarnation in header.visited[:-1]:
+            self.tell(self.table.by_incarnation.get(incarnation), [key])
         return DELIVER
 
+    def adopt(self, arrival: Arrival) -> Action:
+        """Take a flow that nobody else claims and that this target may hold."""
+        action = self.take(arrival)
+        if arrival.key in self.flows:
+            self.flows.adopt(arrival.key, arrival.now, self.idle)
+        return action
+
     def point(self, key: bytes, target: Target, now: float) -> None:
-        """Remember that a target owns a flow."""
+        """Remember whom a flow was passed to."""
         pair = target.announcement.packets.as_pair()
         place = identify_place(target)
         owner = Owner(target.incarnation, place, pair, self.table.revision)
-        self.pointers.add(key, owner, now + self.idle)
+        self.pointers.add(key, owner, now + self.idle, guessed=True)
 
     def forward_to(self, arrival: Arrival, target: Target, flags: int) -> Action:
         """Send a packet on to another target's agent."""
--- a/ibisshunt/coordination/flows/store.py
+++ b/ibisshunt/coordination/flows/store.py
@@ -12,11 +12,15 @@
 MAX_OWNERS: Final = 4096
 SWEEP_STEP: Final = 512
 
-# A flow's state is one small integer: its deadline in whole seconds and one bit.
+# A flow's state is one small integer: its deadline in whole seconds and two bits.
 _CLOSING: Final = 1
-_DEADLINE_SHIFT: Final = 1
+_ADOPTED: Final = 2
+_DEADLINE_SHIFT: Final = 2
 _OWNER_BITS: Final = 13
 _OWNER_MASK: Final = (1 << _OWNER_BITS) - 1
+_GUESSED: Final = 1 << _OWNER_BITS
+_POINTER_SHIFT: Final = _OWNER_BITS + 1
+_LOW_MASK: Final = (1 << _POINTER_SHIFT) - 1
 
 
 class FlowStore:
@@ -48,6 +52,19 @@
         """Tell whether the caller has ended its side of the flow."""
         return bool(self._states.get(key, 0) & _CLOSING)
 
+    def is_adopted(self, key: bytes) -> bool:
+        """Tell whether only one packet has shown a flow that was adopted.
+
+        The target may not hold it: its host has reset it then, and no more packets
+        come.
+        """
+        return bool(self._states.get(key, 0) & _ADOPTED)
+
+    def adopt(self, key: bytes, now: float, idle_seconds: float) -> None:
+        """Add a flow that nobody else claims."""
+        self.touch(key, 0, now, idle_seconds)
+        self._states[key] |= _ADOPTED
+
     def touch(self, key: bytes, bits: int, now: float, idle_seconds: float) -> None:
         """Add a flow, or note a packet of it.
 
@@ -122,22 +139,35 @@
         return None if state is None else self._owners[state & _OWNER_MASK]
 
     def list_keys(self, place: int) -> list[bytes]:
-        """Return the keys of the flows that the target in a place owns."""
+        """Return the keys of the flows of a place, as its own agent told them.
+
+        A guess is left out: whom a flow was passed to may have passed it on.
+        """
         wanted = {
             index for index, owner in enumerate(self._owners) if owner.place == place
         }
         if not wanted:
             return []
         return [
-            key for key, state in self._states.items() if state & _OWNER_MASK in wanted
+            key for key, state in self._states.items() if state & _LOW_MASK in wanted
         ]
 
-    def add(self, key: bytes, owner: Owner, deadline: float) -> None:
-        """Remember the owner until a deadline in seconds."""
-        index = self._find_index(owner)
+    def add(
+        self, key: bytes, owner: Owner, deadline: float, guessed: bool = False
+    ) -> None:
+        """Remember the owner until a deadline in seconds.
+
+        ``guessed`` tells that the owner itself has not said so.
+        """
+        low = self._find_index(owner) | (_GUESSED if guessed else 0)
         if key not in self._states and len(self._states) >= self.limit:
             del self._states[next(iter(self._states))]
-        self._states[key] = int(deadline + 1) << _OWNER_BITS | index
+        self._states[key] = int(deadline + 1) << _POINTER_SHIFT | low
+
+    def refresh(self, key: bytes, deadline: float) -> None:
+        """Keep a pointer until a later deadline."""
+        low = self._states[key] & _LOW_MASK
+        self._states[key] = int(deadline + 1) << _POINTER_SHIFT | low
 
     def _find_index(self, owner: Owner) -> int:
         index = self._indexes.get(owner.incarnation)
@@ -162,7 +192,7 @@
 
     def _expire(self, key: bytes, now: float) -> bool:
         state = self._states.get(key)
-        if state is None or state >> _OWNER_BITS > now:
+        if state is None or state >> _POINTER_SHIFT > now:
             return False
         del self._states[key]
         return True
--- a/ibisshunt/coordination/flows/strays.py
+++ b/ibisshunt/coordination/flows/strays.py
@@ -28,7 +28,7 @@
     # Two pointers may name each other: a packet never goes back by one.
     if incarnation in header.visited or incarnation == state.incarnation:
         return None
-    state.pointers.add(key, owner, arrival.now + state.idle)
+    state.pointers.refresh(key, arrival.now + state.idle)
     return state.forward(arrival, pair, incarnation, header.flags | BY_POINTER)
 
 
@@ -61,7 +61,7 @@
     if header.origin == state.incarnation:
         # Nobody else claims the flow. If the target does not hold it either, the
         # target's host answers with the same reset that this agent would send.
-        return state.take(arrival)
+        return state.adopt(arrival)
     if header.origin and not header.flags & SOUGHT:
         return state.return_to_origin(arrival)
     return _give_up(state, arrival)
--- a/ibisshunt/protocol/datagram.py
+++ b/ibisshunt/protocol/datagram.py
@@ -30,6 +30,8 @@
 _POINTER = struct.Struct("!QH")
 _LOAD = struct.Struct("!d")
 _PLACE = struct.Struct("!Q")
+# number of keys sent before, verdict on the place
+_RECALLED = struct.Struct("!IB")
 
 HEADER_BYTES: Final = _HEADER.size
 # Keeps a datagram of keys below an Ethernet frame of 1500 bytes.
@@ -48,6 +50,7 @@
     LOAD = 3
     REVISION = 4
     RECALL = 5
+    RECALLED = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,3 +175,16 @@
     if len(payload) != _PLACE.size:
         return Failure(Fault("read recall", "", f"{len(payload)} bytes"))
     return Success(_PLACE.unpack(payload)[0])
+
+
+def pack_recalled(header: Header, total: int, verdict: int) -> bytes:
+    """Return a datagram that ends the answer to a RECALL datagram."""
+    head = replace(header, kind=DatagramKind.RECALLED)
+    return pack_header(head) + _RECALLED.pack(total, verdict)
+
+
+def read_recalled(payload: bytes) -> Result[tuple[int, int], Fault]:
+    """Read the number of keys and the verdict of a RECALLED datagram."""
+    if len(payload) != _RECALLED.size:
+        return Failure(Fault("read recalled", "", f"{len(payload)} bytes"))
+    return Success(_RECALLED.unpack(payload))
--- a/tests/components/test_packets.py
+++ b/tests/components/test_packets.py
@@ -7,7 +7,7 @@
 
 from ibisshunt.components.agent import packets as agent_packets
 from ibisshunt.components.balancer import packets as balancer_packets
-from ibisshunt.coordination.flows.owner import RECALL_SECONDS
+from ibisshunt.coordination.flows.recall import RECALL_SECONDS
 from ibisshunt.core import Kernel
 from ibisshunt.model.address import Address
 from ibisshunt.model.configuration import Configuration
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -315,6 +315,22 @@
     check_all(world, owners)
 
 
+def test_hazard_8_a_new_target_does_not_adopt_flows_of_a_crashed_agent():
+    """Two targets were added, then the agent of an older one crashes.
+
+    The new targets come first for some of its flows and have themselves just started.
+    They must not adopt what nobody claims: their peers tell them that they are new.
+    """
+    world = World(targets=3)
+    owners = open_all(world)
+    world.add("t4")
+    world.add("t5")
+    world.spread()
+    world.restart_agent("t1", hand_over=False)
+    world.spread()
+    check_all(world, owners)
+
+
 def test_hazard_9_a_service_moves_to_another_address_and_port():
     """The record changes address and callers while flows live.
 
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from ibisshunt.coordination.flows.actions import ActionKind
-from ibisshunt.coordination.flows.owner import RECALL_SECONDS, FlowOwner
+from ibisshunt.coordination.flows.owner import FlowOwner
+from ibisshunt.coordination.flows.recall import RECALL_SECONDS
 from ibisshunt.coordination.flows.router import Router
 from ibisshunt.coordination.flows.table import ServiceTable
 from ibisshunt.model.target import TargetState
