Shorten the turn of the packet task and measure control messages under flood

Cause: the event loop looks at sockets only after about 50 turns; with 64 packets a turn a control message waited a median of 13-20 ms under flood. Change: 16 packets a turn; the measurement sends control messages with their time and reads them from the start.

--- a/ibisshunt/helpers/datagrams.py
+++ b/ibisshunt/helpers/datagrams.py
@@ -12,8 +12,9 @@
 
 # Packets handled before other tasks may run. While data are ready a receive never
 # waits, so that without this a flood of packets would starve the task that renews the
-# lease: a healthy node would look dead.
-PACKETS_PER_TURN: Final = 64
+# lease: a healthy node would look dead. The event loop looks at sockets and timers
+# only after about 50 turns, so that a turn has to be short.
+PACKETS_PER_TURN: Final = 16
 BUFFER_BYTES: Final = 4 * 1024 * 1024
 
 Pair = tuple[str, int]
--- a/measurements/flows_rate.py
+++ b/measurements/flows_rate.py
@@ -11,6 +11,7 @@
 import argparse
 import json
 import statistics
+import struct
 import subprocess
 import sys
 import time
@@ -37,7 +38,6 @@
 ROUNDS = 3
 PAYLOAD = b"x" * 200
 ANY = Address("127.0.0.1", 0)
-PROBE_SECONDS = 0.02
 
 
 def make_packet(port: int, flags: int) -> bytes:
@@ -50,18 +50,25 @@
     return bytes(packet)
 
 
-def flood(address: str, prefix: str) -> None:
-    """Send packets of all flows in turn, as fast as one process can."""
+def flood(address: str, prefix: str, control: str) -> None:
+    """Send packets of all flows in turn, as fast as one process can.
+
+    In between a message with the time goes to the control socket.
+    """
     original = monkey.get_original("socket", "socket")
     ip, port = address.split(":")
     sender = original(socket.AF_INET, socket.SOCK_DGRAM)
     sender.connect((ip, int(port)))
+    teller = original(socket.AF_INET, socket.SOCK_DGRAM)
+    control_ip, control_port = control.split(":")
+    teller.connect((control_ip, int(control_port)))
     head = bytes.fromhex(prefix)
     packets = [head + make_packet(20_000 + n, dpkt.tcp.TH_ACK) for n in range(FLOWS)]
     deadline = time.monotonic() + 30
     while time.monotonic() < deadline:
         for packet in packets:
             sender.send(packet)
+        teller.send(struct.pack("!d", time.monotonic()))
 
 
 class FakeConfiguration:
@@ -164,28 +171,35 @@
 
 
 def measure(start, sink) -> dict:
-    """Return the rate under flood and how late a task woke that wants to run."""
+    """Return the rate under flood and the delay of messages to a control task."""
     address, prefix, count, stop = start(sink)
+    control = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    control.bind(("127.0.0.1", 0))
     command = [sys.executable, __file__, "--flood", str(address), "--prefix", prefix]
+    command += ["--control", "{}:{}".format(*control.getsockname())]
     sender = subprocess.Popen(command)
     try:
-        gevent.sleep(WARM_UP_SECONDS)
         delays = []
+        warm = time.monotonic() + WARM_UP_SECONDS
+        while time.monotonic() < warm:
+            control.recv(8)
         began, first = time.monotonic(), count()
         while time.monotonic() < began + SECONDS:
-            asked = time.monotonic()
-            gevent.sleep(PROBE_SECONDS)
-            delays.append(time.monotonic() - asked - PROBE_SECONDS)
+            (sent,) = struct.unpack("!d", control.recv(8))
+            delays.append(time.monotonic() - sent)
         rate = (count() - first) / (time.monotonic() - began)
     finally:
         sender.kill()
         sender.wait()
         stop()
+        control.close()
     delays.sort()
     return {
         "packets_per_second": round(rate),
-        "wake_delay_ms_p99": round(delays[int(len(delays) * 0.99)] * 1000, 2),
-        "wake_delay_ms_max": round(delays[-1] * 1000, 2),
+        "control_messages": len(delays),
+        "control_delay_ms_median": round(delays[len(delays) // 2] * 1000, 2),
+        "control_delay_ms_p99": round(delays[int(len(delays) * 0.99)] * 1000, 2),
+        "control_delay_ms_max": round(delays[-1] * 1000, 2),
     }
 
 
@@ -219,8 +233,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--flood", default="")
     parser.add_argument("--prefix", default="")
+    parser.add_argument("--control", default="")
     arguments = parser.parse_args()
     if arguments.flood:
-        flood(arguments.flood, arguments.prefix)
+        flood(arguments.flood, arguments.prefix, arguments.control)
     else:
         main()
--- a/tests/helpers/test_datagrams.py
+++ b/tests/helpers/test_datagrams.py
@@ -57,5 +57,6 @@
     gevent.spawn(take_turns).join()
     flood.kill()
     flooded.close()
-    assert turns == pytest.approx([64, 128, 192], abs=64)
+    expected = [PACKETS_PER_TURN * turn for turn in (1, 2, 3)]
+    assert turns == pytest.approx(expected, abs=PACKETS_PER_TURN)
     assert max(turns) <= PACKETS_PER_TURN * 3
