--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from ibisshunt.coordination.flows.actions import ActionKind
-from ibisshunt.coordination.flows.owner import RECALL_SECONDS, FlowOwner
+from ibisshunt.coordination.flows.owner import FlowOwner
+from ibisshunt.coordination.flows.recall import RECALL_SECONDS
 from ibisshunt.coordination.flows.router import Router
 from ibisshunt.coordination.flows.table import ServiceTable
 from ibisshunt.model.target import TargetState
@@ -44,7 +45,9 @@
     in ``send`` stands for the network: it loses nothing unless ``lost`` says so.
     """
 
-    def __init__(self, targets=4, balancers=2, start=1000.0, warm=True, **service):
+    def __init__(
+        self, targets=4, balancers=2, start=1000.0, warm=True, max_flows=1000, **service
+    ):
         self.now = start
         self.revision = 0
         self.service = make_service(**service)
@@ -55,7 +58,7 @@
         self.lose_notices = False
         self.next_incarnation = 1
         for number in range(1, targets + 1):
-            self.add(f"t{number}")
+            self.add(f"t{number}", max_flows)
         self.balancers = [Router() for _ in range(balancers)]
         self.spread()
         if warm:
