--- a/ibisshunt/cli/demo.py
+++ b/ibisshunt/cli/demo.py
@@ -9,6 +9,7 @@
 
 import click
 import gevent
+from absl import logging
 
 from ..components.standin import Endpoint, Fabric
 from ..components.standin.traffic import (
@@ -16,6 +17,7 @@
     TrafficSummary,
     drive_flows,
     fetch_page,
+    post_once,
 )
 from ..const import EXIT_FAILURE
 from ..core import Kernel
@@ -29,6 +31,7 @@
 from .process import read_or_exit, set_up_logging
 
 READY_SECONDS = 20.0
+DEMO_KEY = "demo-swap-1"
 
 
 def start_endpoints(settings: StandaloneSettings) -> list[Endpoint]:
@@ -64,10 +67,11 @@
 def list_services(documents: tuple[str, ...]) -> list[ServiceAddress]:
     """Return the services among the records."""
     found = [json.loads(document) for document in documents]
+    services = [record for record in found if record["kind"] == "service"]
     return [
-        ServiceAddress(record["name"], Address(record["address"], record["port"]))
-        for record in found
-        if record["kind"] == "service"
+        ServiceAddress(record["name"], Address(place["address"], place["port"]))
+        for record in services
+        for place in [record.get("listen", record)]
     ]
 
 
@@ -96,6 +100,21 @@
     return summaries
 
 
+def confirm_twice(service: ServiceAddress, endpoints: list[Endpoint]) -> bool:
+    """Send one non-idempotent request twice; return whether it ran once."""
+    before = count_requests(service, endpoints)
+    answers = [post_once(service.address, "/swap", DEMO_KEY) for _ in range(2)]
+    ran = count_requests(service, endpoints) - before
+    show_progress(f"{service.name}: one key sent twice ran {ran} time(s)")
+    return ran == 1 and answers[0] == answers[1]
+
+
+def count_requests(service: ServiceAddress, endpoints: list[Endpoint]) -> int:
+    """Return how many requests the targets of a service have run."""
+    mine = [endpoint for endpoint in endpoints if endpoint.service == service.name]
+    return sum(endpoint.counts["requests"] for endpoint in mine)
+
+
 def print_summary(summaries: list[TrafficSummary]) -> bool:
     """Print what happened; return whether nothing was broken or went astray."""
     click.echo("\nservice     flows answers broken wrong  targets")
@@ -117,8 +136,9 @@
     """Run the whole path on this machine."""
     settings = read_or_exit(path, STANDALONE)
     documents = read_documents(records)
-    if verbose:
-        set_up_logging(verbose)
+    set_up_logging(verbose)
+    if not verbose:
+        logging.set_verbosity(logging.ERROR)
     kernel = Kernel()
     folder = tempfile.mkdtemp(prefix="ibisshunt-demo-")
     control = replace(settings.control[0], data_folder=folder)
@@ -127,7 +147,9 @@
         endpoints = start_endpoints(settings)
         set_up_standalone(kernel, settings)
         show_progress(f"started {len(settings.agents)} agents beside stand-in targets")
-        good = print_summary(run_demo(settings, documents, flows))
+        summaries = run_demo(settings, documents, flows)
+        once = confirm_twice(list_services(documents)[0], endpoints)
+        good = print_summary(summaries) and once
     except (IbisshuntError, OSError, TimeoutError) as error:
         click.echo(f"demo: failed: {error}", err=True)
         sys.exit(EXIT_FAILURE)
--- a/ibisshunt/cli/operator.py
+++ b/ibisshunt/cli/operator.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from .. import __version__
+from ..components.load import load
 from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
 from ..programs import set_up_standalone
 from ..protocol.codec import to_plain
@@ -194,6 +195,7 @@
     click.echo(f"{path}: ok")
 
 
+main.add_command(load)
 main.add_command(
     make_command(
         "standalone",
--- a/ibisshunt/components/node/announcer.py
+++ b/ibisshunt/components/node/announcer.py
@@ -119,6 +119,7 @@
         streams=settings.streams,
         tunnel=target.tunnel,
         weight=target.weight,
+        rpc=settings.rpc,
     )
 
 
--- a/ibisshunt/components/node/watcher.py
+++ b/ibisshunt/components/node/watcher.py
@@ -142,7 +142,8 @@
         try:
             self._watch(address, self._stream)
         except RpcError as error:
-            warn_event("watch_lost", node=self._node, fault=error.fault)
+            if not self._stopping.is_set():
+                warn_event("watch_lost", node=self._node, fault=error.fault)
         self.connected_to = ""
         ended.set()
         self._stream.close()
--- a/ibisshunt/components/standin/traffic.py
+++ b/ibisshunt/components/standin/traffic.py
@@ -115,8 +115,21 @@
 
 def fetch_page(address: Address, path: str, timeout: float = 5.0) -> str:
     """Return the body that a service answers over the stream intake."""
-    url = f"http://{address}{path}"
+    return _send("GET", address, path, timeout, {})
+
+
+def post_once(address: Address, path: str, key: str, timeout: float = 5.0) -> str:
+    """Send a non-idempotent request under a key; return the body of the answer."""
+    return _send("POST", address, path, timeout, {"Idempotency-Key": key})
+
+
+def _send(
+    method: str, address: Address, path: str, timeout: float, headers: dict[str, str]
+) -> str:
     # A connection kept open for a next request would hold up a planned stop.
-    headers = {"Connection": "close"}
-    reply = urllib3.request("GET", url, headers=headers, timeout=timeout, retries=False)
+    headers = {"Connection": "close", **headers}
+    url = f"http://{address}{path}"
+    reply = urllib3.request(
+        method, url, headers=headers, timeout=timeout, retries=False
+    )
     return reply.data.decode()
