--- a/tests/components/control/test_handlers.py
+++ b/tests/components/control/test_handlers.py
@@ -12,9 +12,9 @@
 from ibisshunt.components.control.state import ControlState
 from ibisshunt.components.control.watches import WatchHandler
 from ibisshunt.coordination.distribution.receiver import Received, Verdict, receive
-from ibisshunt.exceptions import Fault
+from ibisshunt.exceptions import Fault, StorageError
 from ibisshunt.model.address import Address
-from ibisshunt.protocol.codec import decode
+from ibisshunt.protocol.codec import decode, encode
 from ibisshunt.protocol.leader import find_leader
 from ibisshunt.protocol.messages import (
     AnnounceRequest,
@@ -143,6 +143,17 @@
     assert control.log.index == written + 1
 
 
+def test_announcements_that_admit_nothing_cost_no_write():
+    # An agent is started before its service is declared, or with a wrong name. It
+    # announces every two seconds: written each time, ten of them put 80 entries into
+    # the log of a trial before the first record.
+    control = Control()
+    for _ in range(5):
+        assert "does not exist" in control.announce().error
+    assert control.announce(leaving=True).incarnation == 0
+    assert control.log.index == 0
+
+
 def test_a_new_leader_restarts_all_leases():
     control = Control()
     control.apply(BUSINESS, SERVICE)
@@ -172,3 +183,11 @@
         ("b2", 6),
     ]
     assert merged.unreachable == ("c3",)
+
+
+def test_a_command_of_a_later_release_stops_the_host():
+    # A host of an older release follows a leader that already writes a new command.
+    # Skipping it would let this host's records drift away unseen.
+    control = Control()
+    with pytest.raises(StorageError, match="unknown command 'MoveRegion'"):
+        control.state.apply(1, encode(("MoveRegion", {})))
