Settle the past of a view once, and never open a view in one failure domain

Change: a view that is settled is not asked for again; one whose missing members share a failure domain has lost nothing.

--- a/ibisshunt/components/requests/keeper.py
+++ b/ibisshunt/components/requests/keeper.py
@@ -27,7 +27,7 @@
 
 FETCH_PAUSE_SECONDS: Final = 0.05
 # A former member that is silent for this long is done without, in seconds.
-GIVE_UP_SECONDS: Final = 2.0
+GIVE_UP_SECONDS: Final = 0.5
 SETTLE_PAUSE_SECONDS: Final = 0.2
 SETTLE_TRIES: Final = 5
 # An answer waits this long for its holders before the caller gets it, in seconds.
--- a/ibisshunt/coordination/requests/handover.py
+++ b/ibisshunt/coordination/requests/handover.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from .holders import EMPTY_VIEW, View, find_pair
+from .holders import EMPTY_VIEW, View, count_domains, find_pair
 from .ledger import Ledger
 from .outcomes import (
     Claim,
@@ -120,15 +120,19 @@
         """
         if self.open:
             return True
-        if not self.view.members or self.list_sources():
+        # A view in one failure domain has no pair of holders for any key: nobody would
+        # take over the records of the views before it.
+        if count_domains(self.view.members) < 2 or self.list_sources():
             return False
         if self._promised > self.view.revision:
             return False
         # An agent that started with an empty ledger among others like it cannot know
         # what ran before: "never seen" would let a resend run a second time.
         if not (founding or self._seasoned or self._progress.seasoned):
-            self._remember(PastView(BLIND_VIEW, (), now + self.ledger.retention))
-        self._keep_lost(now)
+            self._remember(
+                PastView(BLIND_VIEW, (), now + self.ledger.retention, settled=True)
+            )
+        self._settle_past(now)
         self._seasoned = True
         self.open = True
         return True
@@ -180,11 +184,15 @@
         if found is None:
             self._past[past.view.digest] = past
             return
+        # Who has not settled the view may lack what a member that is lost by now would
+        # have told: it has to be asked again. Until then what is missing stays so, else
+        # a late message would turn "unknown" into "never seen".
+        settled = found.settled and past.settled
         missing = tuple(sorted({*found.missing, *past.missing}))
         deadline = max(found.deadline, past.deadline)
         revision = max(found.view.revision, past.view.revision)
         view = replace(found.view, revision=revision)
-        self._past[past.view.digest] = PastView(view, missing, deadline)
+        self._past[past.view.digest] = PastView(view, missing, deadline, settled)
 
     def _learn(self, pasts: Iterable[PastView], now: float) -> None:
         for past in pasts:
@@ -208,25 +216,42 @@
         return tuple(pasts)
 
     def _list_known(self) -> set[int]:
-        views = [self.view, *(past.view for past in self._past.values())]
+        unsettled = [past.view for past in self._past.values() if not past.settled]
+        views = [self.view, *unsettled]
         return {member.incarnation for view in views for member in view.members}
 
-    def _keep_lost(self, now: float) -> None:
-        """Keep of the past only what could not be copied."""
-        lost = self._progress.given_up
+    def _settle_past(self, now: float) -> None:
+        """Keep of the past only what could not be copied.
+
+        A view whose missing members share a failure domain has lost nothing: the
+        other holder of each key has answered.
+        """
         kept = {}
         for digest, past in self._past.items():
-            missing = {member.incarnation for member in past.view.members} & lost
-            if past.deadline > now and (missing or digest == BLIND_VIEW.digest):
-                kept[digest] = replace(past, missing=tuple(sorted(missing)))
+            settled = past if past.settled else self._settle_view(past)
+            if past.deadline > now and _spans_domains(settled):
+                kept[digest] = settled
         self._past = kept
 
+    def _settle_view(self, past: PastView) -> PastView:
+        members = {member.incarnation for member in past.view.members}
+        missing = tuple(sorted(members & self._progress.given_up))
+        return replace(past, missing=missing, settled=True)
+
     def _is_lost(self, key: bytes, now: float) -> bool:
         return any(
             _lacks(past, key) for past in self._past.values() if past.deadline > now
         )
 
 
+def _spans_domains(past: PastView) -> bool:
+    if past.view.digest == BLIND_VIEW.digest:
+        return True
+    missing = set(past.missing)
+    lost = [one for one in past.view.members if one.incarnation in missing]
+    return count_domains(lost) > 1
+
+
 def _lacks(past: PastView, key: bytes) -> bool:
     if past.view.digest == BLIND_VIEW.digest:
         return True
--- a/ibisshunt/coordination/requests/holders.py
+++ b/ibisshunt/coordination/requests/holders.py
@@ -62,6 +62,11 @@
     return None
 
 
+def count_domains(members: Iterable[Member]) -> int:
+    """Return how many failure domains the members are in."""
+    return len({member.failure_domain for member in members})
+
+
 def _weigh(member: Member, key: bytes) -> tuple[int, int]:
     salt = member.incarnation.to_bytes(8, "big")
     return xxhash.xxh3_64_intdigest(salt + key), member.incarnation
--- a/ibisshunt/coordination/requests/outcomes.py
+++ b/ibisshunt/coordination/requests/outcomes.py
@@ -113,13 +113,15 @@
 class PastView:
     """Hold a view whose claims may not have been copied.
 
-    ``missing`` are the members that could not be asked. ``deadline`` is the holder's
-    own clock; it travels as seconds that are left.
+    Its members have to be asked unless it is ``settled``: then all but the ``missing``
+    have been, and keys that two of the missing held are lost. ``deadline`` is the
+    holder's own clock; it travels as seconds that are left.
     """
 
     view: View
     missing: tuple[int, ...]
     deadline: float
+    settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
