--- a/ibisshunt/protocol/messages.py
+++ b/ibisshunt/protocol/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..model.configuration import ConfigurationUpdate
-from ..model.record import Record
+from ..model.record import RecordKind
 from ..model.target import Announcement
 from .rpc import Method
 
@@ -44,11 +44,23 @@
     business: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ListedRecord:
+    """Hold one record as its business wrote it; ``document`` is JSON text."""
+
+    kind: RecordKind
+    business: str
+    name: str
+    schema_version: int
+    revision: int
+    document: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListReply:
     """Hold the records at one revision."""
 
-    records: tuple[Record, ...]
+    records: tuple[ListedRecord, ...]
     revision: int
 
 
@@ -100,7 +112,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusRequest:
-    """Ask for the state of the whole system."""
+    """Ask for the state of the whole system, or what the one host knows itself."""
+
+    local: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,13 +140,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusReply:
-    """Tell the state of the whole system at one revision."""
+    """Tell the state of the whole system at one revision.
+
+    ``unreachable`` names the control hosts that did not answer: nodes that report to
+    them may be missing.
+    """
 
     revision: int
     leader: str
     services: tuple[str, ...]
     targets: tuple[TargetStatus, ...]
     nodes: tuple[NodeStatus, ...]
+    unreachable: tuple[str, ...] = ()
 
 
 APPLY = Method("Apply", ApplyRequest, ApplyReply)
--- a/tests/coordination/requests/test_ledger_properties.py
+++ b/tests/coordination/requests/test_ledger_properties.py
@@ -2,7 +2,8 @@
 
 import pytest
 from hypothesis import given, strategies as st
-from ledger_cluster import Cluster
+
+from tests.coordination.requests.ledger_cluster import Cluster
 
 from ibisshunt.coordination.requests.holders import count_domains
 
