--- a/tests/coordination/requests/test_ledger_properties.py
+++ b/tests/coordination/requests/test_ledger_properties.py
@@ -3,9 +3,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from tests.coordination.requests.ledger_cluster import Cluster
-
 from ibisshunt.coordination.requests.holders import count_domains
+from tests.coordination.requests.ledger_cluster import Cluster
 
 KEYS = [f"k{i}".encode() for i in range(8)]
 WEIGHTS = (
