Tell in a slice when an agent's process was last lost

Cause: an agent that restarts beside a living target keeps its incarnation but has lost the outcomes it kept; nobody could tell, and two such restarts at once would let a key run twice. Change: Announcement.agent_session, drawn by the agent's process, and rpc are announced; the store fills ServiceSlice.left_revision.

--- a/ibisshunt/components/node/announcer.py
+++ b/ibisshunt/components/node/announcer.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import uuid
 from itertools import cycle
 from typing import Any
 
@@ -40,6 +41,11 @@
         self._credentials = credentials
         self._channel = Channel(next(self._hosts), credentials)
 
+    @property
+    def agent_session(self) -> str:
+        """Return what this process drew at its start."""
+        return self.announcement.agent_session
+
     def run(self) -> None:
         """Renew the lease until asked to stop."""
         delays = make_delays(random.random)
@@ -119,6 +125,8 @@
         streams=settings.streams,
         tunnel=target.tunnel,
         weight=target.weight,
+        rpc=settings.rpc,
+        agent_session=uuid.uuid4().hex,
     )
 
 
--- a/ibisshunt/coordination/records/store.py
+++ b/ibisshunt/coordination/records/store.py
@@ -224,7 +224,8 @@
                 _show(target, (*key, target.name) in drained)
                 for target in self.targets.get(key, ())
             )
-            self.slices[number] = ServiceSlice(service, shown, index)
+            left = _find_left(self.slices.get(number), shown, index)
+            self.slices[number] = ServiceSlice(service, shown, index, left)
 
     def _find_drained(self) -> frozenset[tuple[str, str, str]]:
         return frozenset(
@@ -235,6 +236,22 @@
         )
 
 
+def _find_left(
+    before: ServiceSlice | None, targets: tuple[Target, ...], index: int
+) -> int:
+    """Return the position at which an agent's process last ended."""
+    if before is None:
+        return 0
+    present = {_identify(target) for target in targets}
+    if any(_identify(target) not in present for target in before.targets):
+        return index
+    return before.left_revision
+
+
+def _identify(target: Target) -> tuple[int, str]:
+    return target.incarnation, target.announcement.agent_session
+
+
 def _find_doubles(changes: tuple[RecordChange, ...]) -> frozenset[int]:
     """Return the positions of changes whose record stands earlier in the request."""
     seen: set[RecordKey] = set()
--- a/ibisshunt/model/configuration.py
+++ b/ibisshunt/model/configuration.py
@@ -14,7 +14,7 @@
 
     ``revision`` is the position in the log that last changed this slice. Targets are
     in the order of their incarnation. ``left_revision`` is the position at which a
-    target last left the service, 0 when none ever has.
+    target last left the service or its agent restarted, 0 when none ever has.
     """
 
     service: Service
--- a/ibisshunt/model/target.py
+++ b/ibisshunt/model/target.py
@@ -23,7 +23,9 @@
     new session is a new incarnation. ``packets`` takes datagrams from balancers and
     other agents, ``streams`` relayed TCP streams, ``tunnel`` is the target host's own
     GUE tunnel end. ``rpc`` takes calls of the other agents of the service; without it
-    the agent shares no requests and keeps no outcomes.
+    the agent shares no requests and keeps no outcomes. ``agent_session`` is drawn by
+    the agent's process at its start: one that restarts beside a living target keeps the
+    target's incarnation, but has lost the outcomes that it kept.
     """
 
     business: str
@@ -37,6 +39,7 @@
     tunnel: Address
     weight: int = 100
     rpc: Address | None = None
+    agent_session: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/records/test_targets.py
+++ b/tests/coordination/records/test_targets.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from ibisshunt.model.target import TargetState
 
 from .factory import announce, set_state, start_marea
@@ -52,3 +54,25 @@
     assert driver.apply(announce(leaving=True)).incarnation == 0
     assert "does not exist" in driver.apply(announce(service="docs")).error
     assert driver.targets() == {}
+
+
+def test_the_slice_tells_when_an_agent_was_last_lost():
+    # A service that never lost an agent has no outcomes that nobody knows; one whose
+    # agents restart or leave may have, and newcomers must learn of it.
+    driver = start_marea()
+    driver.apply(announce())
+    driver.apply(announce(name="t2", session="s2", port=8001))
+    (part,) = driver.store.slices.values()
+    assert part.left_revision == 0
+    again = announce()
+    session = replace(again.announcement, agent_session="second")
+    driver.apply(replace(again, announcement=session))
+    (part,) = driver.store.slices.values()
+    assert (part.left_revision, part.revision) == (driver.index, driver.index)
+    driver.apply(set_state(2, TargetState.SUSPECT))
+    lost = part.left_revision
+    (part,) = driver.store.slices.values()
+    assert part.left_revision == lost
+    driver.apply(set_state(2, None))
+    (part,) = driver.store.slices.values()
+    assert part.left_revision == driver.index
