Count each process of an agent as a member of its own, and wire the front in

Cause: an agent that restarts beside a living target kept its number, so its empty ledger could pass for a whole one; nothing started the front in the agent.

--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 import gevent
+import grpc
 
 from ...const import WARM_UP_SECONDS
 from ...coordination.requests.admission import Admission, Refused
@@ -41,9 +42,14 @@
 class Dispatcher:
     """Own the admission of one target."""
 
-    def __init__(self, client: TargetClient, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        client: TargetClient,
+        clock: Callable[[], float],
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
         self.sharing = Sharing()
-        self.peers = Peers(self.sharing, clock, self.tell_load)
+        self.peers = Peers(self.sharing, clock, self.tell_load, credentials)
         self.admission = Admission(1, RequestPolicy().queue_limit)
         self.budget = RetryBudget(RequestPolicy().retry_share)
         self.warm_deadline = 0.0
--- a/ibisshunt/components/requests/front.py
+++ b/ibisshunt/components/requests/front.py
@@ -1,8 +1,10 @@
 """Speak HTTP/1.1 with the callers of the agent's service."""
 
+import contextlib
 import hashlib
 import math
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 
@@ -68,6 +70,8 @@
     def __init__(self, desk: Desk, clock: Callable[[], float]) -> None:
         self.policy = RequestPolicy()
         self.busy = 0
+        self.outcomes: Counter[str] = Counter()
+        self._connections: set[socket.socket] = set()
         self._desk = desk
         self._clock = clock
         self._server = WSGIServer(
@@ -77,10 +81,22 @@
 
     def handle(self, connection: socket.socket, caller: Address) -> None:
         """Serve the requests of one connection until it ends."""
+        self._connections.add(connection)
         try:
             _Handler(connection, caller.as_pair(), self._server).handle()
         except CallerLeftError:
             reset_connection(connection)
+        finally:
+            self._connections.discard(connection)
+
+    def close(self) -> None:
+        """Close the connections that wait for a next request.
+
+        A caller with an open connection and no request would hold up a planned stop.
+        """
+        for connection in [*self._connections]:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def _serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         arrived = self._clock()
@@ -91,6 +107,14 @@
         deadline = find_deadline(environ, self.policy.timeout_ms / 1000, arrived)
         return self._relay(environ, start, request, deadline)
 
+    def _note_outcome(self, start: Any) -> Any:
+        def note(status: str, headers: list[tuple[str, str]]) -> Any:
+            told = dict(headers).get("Ibisshunt-Outcome", "")
+            self.outcomes[told] += 1
+            return start(status, headers)
+
+        return note
+
     def _relay(
         self, environ: dict[str, Any], start: Any, request: Request, deadline: float
     ) -> Iterator[bytes]:
@@ -99,7 +123,7 @@
         parts = self._desk.answer(request, deadline)
         self.busy += 1
         try:
-            yield from _write(start, parts)
+            yield from _write(self._note_outcome(start), parts)
         finally:
             self.busy -= 1
             watch.kill(block=False)
--- a/ibisshunt/components/requests/intake.py
+++ b/ibisshunt/components/requests/intake.py
@@ -40,7 +40,12 @@
     """Own the rpc server of one agent's requests."""
 
     def __init__(
-        self, address: Address, dispatcher: Dispatcher, keeper: Keeper, desk: Desk
+        self,
+        address: Address,
+        dispatcher: Dispatcher,
+        keeper: Keeper,
+        desk: Desk,
+        credentials: grpc.ServerCredentials | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._keeper = keeper
@@ -54,6 +59,7 @@
                 SETTLE: self._checked(self._settle),
                 FETCH: self._checked(self._fetch),
             },
+            credentials=credentials,
         )
         self.address = self._server.address
         self._server.start()
--- a/ibisshunt/components/requests/keeper.py
+++ b/ibisshunt/components/requests/keeper.py
@@ -52,6 +52,11 @@
         """Tell whether this agent answers for its keys."""
         return self._holder is not None and self._holder.open
 
+    @property
+    def used_bytes(self) -> int:
+        """Return the bytes that the kept outcomes are charged."""
+        return self._holder.ledger.used_bytes if self._holder is not None else 0
+
     def follow(
         self,
         incarnation: int,
--- a/ibisshunt/components/requests/peers.py
+++ b/ibisshunt/components/requests/peers.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
+import grpc
+
 from ...coordination.requests.outcomes import (
     Claim,
     ClaimReply,
@@ -39,8 +41,13 @@
     """Own the channels to the other agents; note the loads that they tell."""
 
     def __init__(
-        self, sharing: Sharing, clock: Callable[[], float], load: Callable[[], Load]
+        self,
+        sharing: Sharing,
+        clock: Callable[[], float],
+        load: Callable[[], Load],
+        credentials: grpc.ChannelCredentials | None,
     ) -> None:
+        self._credentials = credentials
         self.incarnation = 0
         self._sharing = sharing
         self._clock = clock
@@ -105,7 +112,7 @@
 
     def _find(self, peer: int) -> Channel:
         if peer not in self._channels:
-            self._channels[peer] = Channel(self._addresses[peer])
+            self._channels[peer] = Channel(self._addresses[peer], self._credentials)
         return self._channels[peer]
 
     def _call(
--- a/ibisshunt/coordination/requests/holders.py
+++ b/ibisshunt/coordination/requests/holders.py
@@ -8,7 +8,11 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Member:
-    """Name one agent of a service; ``incarnation`` is never used twice."""
+    """Name one agent of a service.
+
+    ``incarnation`` is that of the agent's process, as ``find_incarnation`` makes it: a
+    process that starts anew has an empty ledger and must count as another member.
+    """
 
     incarnation: int
     name: str
@@ -42,6 +46,12 @@
 EMPTY_VIEW = View(0, ())
 
 
+def find_incarnation(target: int, agent_session: str) -> int:
+    """Return a number of 63 bits for one process of a target's agent."""
+    text = f"{target}/{agent_session}"
+    return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
+
 def make_view(revision: int, members: Iterable[Member]) -> View:
     """Return the view of these members; the order of ``members`` does not matter."""
     ordered = tuple(sorted(members))
--- a/ibisshunt/programs.py
+++ b/ibisshunt/programs.py
@@ -1,6 +1,6 @@
 """Assemble each program from its components."""
 
-from .components import admin, control as control_component, node
+from .components import admin, control as control_component, node, requests
 from .components.agent import packets as agent_packets, streams as agent_streams
 from .components.balancer import (
     packets as balancer_packets,
@@ -48,6 +48,7 @@
     announcer = node.setup_announcement(kernel, settings, credentials)
     agent_packets.setup(kernel, settings)
     agent_streams.setup(kernel, settings)
+    requests.setup(kernel, settings)
     admin.setup(kernel, settings.admin)
     # Registered last and so unloaded first: control must hear that the target leaves
     # before the agent stops to take work, or new flows would be refused meanwhile.
--- a/measurements/requests_agent.py
+++ b/measurements/requests_agent.py
@@ -51,6 +51,7 @@
     def __init__(self, incarnation):
         self.incarnation = incarnation
         self.leaving = False
+        self.agent_session = ""
 
 
 def main():
--- a/tests/components/requests/request_service.py
+++ b/tests/components/requests/request_service.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import itertools
 import socket
 import time
 
@@ -21,6 +22,7 @@
 
 LOOPBACK = "127.0.0.1"
 ANY = Address(LOOPBACK, 0)
+SESSIONS = itertools.count(1)
 
 
 class FakeTarget:
@@ -92,6 +94,7 @@
     def __init__(self, incarnation):
         self.incarnation = incarnation
         self.leaving = False
+        self.agent_session = f"process {next(SESSIONS)}"
 
 
 class Agent:
@@ -135,6 +138,7 @@
             ANY,
             ANY,
             rpc=self.requests.intake.address,
+            agent_session=self.announcement.agent_session,
         )
         return Target(announcement, self.incarnation, state, 0.0)
 
--- a/tests/components/requests/test_front.py
+++ b/tests/components/requests/test_front.py
@@ -6,6 +6,7 @@
 
 from ibisshunt.model.address import Address
 from tests.components.requests.request_service import (
+    Agent,
     RequestService,
     connect,
     open_raw,
@@ -261,6 +262,33 @@
     assert sum(runs) == 9
 
 
+def test_agents_that_restart_beside_living_targets_never_say_never_seen(service):
+    # Hazard 20: two of three agents restart at once with empty ledgers. Their targets
+    # live on, so control leaves them their incarnations. A resend gets its answer from
+    # the third agent, or "unknown" when both holders of its key were lost.
+    for n in range(12):
+        send(service.agents[n % 3], body=b"%d" % n, Idempotency_Key=f"k{n}")
+    for place in (0, 1):
+        old = service.agents[place]
+        old.kill()
+        service.agents[place] = Agent(old.name, old.domain, old.incarnation, old.target)
+    service.left_revision = service.revision + 1
+    service.publish()
+    service.wait_open()
+    told = []
+    for n in range(12):
+        again = send(service.agents[n % 3], body=b"%d" % n, Idempotency_Key=f"k{n}")
+        told.append(outcome(again))
+        assert again[0] != 200 or again[2] == b"answer to %d" % n
+    assert set(told) == {(200, "done"), (504, "unknown")}
+    assert sum(len(one.target.runs) for one in service.agents) == 12
+    fresh = [
+        outcome(send(service.agents[0], body=b"n", Idempotency_Key=f"new{n}"))
+        for n in range(12)
+    ]
+    assert (200, "done") in fresh
+
+
 @pytest.mark.parametrize(
     ("headers", "status"),
     [
