--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -65,6 +65,7 @@
         """Take over what the record says; ``warm_deadline`` is wall-clock time."""
         self.admission.slots = slots
         self.admission.queue_limit = policy.queue_limit
+        self.budget.share = policy.retry_share
         self.warm_deadline = warm_deadline
         self._seen.keep_only((self.peers.incarnation, *self.peers.list_known()))
 
--- a/ibisshunt/coordination/requests/admission.py
+++ b/ibisshunt/coordination/requests/admission.py
@@ -107,6 +107,8 @@
             return Refused(Refusal.STOPPING, retry_after)
         if now + wait + self.service_seconds > deadline:
             return Refused(Refusal.TOO_LATE, retry_after)
+        if self.queued == 0 and len(self.running) < self.count_usable(share):
+            return None
         if self.queued >= self.queue_limit:
             return Refused(Refusal.QUEUE_FULL, retry_after)
         # One caller alone may fill half of the queue; the rest is for the others.
--- a/ibisshunt/coordination/requests/budget.py
+++ b/ibisshunt/coordination/requests/budget.py
@@ -13,12 +13,12 @@
     """
 
     def __init__(self, share: float) -> None:
-        self._share = share
+        self.share = share
         self._saved = 0.0
 
     def count_request(self) -> None:
         """Save a share of a retry for each first try."""
-        self._saved = min(MOST_SAVED, self._saved + self._share)
+        self._saved = min(MOST_SAVED, self._saved + self.share)
 
     def take(self) -> bool:
         """Spend one retry; return False when none is left."""
--- a/tests/coordination/requests/test_admission.py
+++ b/tests/coordination/requests/test_admission.py
@@ -212,3 +212,10 @@
 def test_when_all_targets_fail_none_is_an_outlier():
     weights = weigh_targets({n: repeat(True, 0.1) for n in range(7)})
     assert set(weights.values()) == {1.0}
+
+
+def test_without_a_queue_a_free_slot_is_still_used():
+    admission = Admission(1, 0)
+    assert offer(admission, 1) is None
+    assert admission.start_next(0.0, 1.0).attempt == Attempt(1, 1)
+    assert offer(admission, 2).reason == Refusal.QUEUE_FULL
