Leave in its place what an idle agent can't take over

Cause: a waiting request that could not be handed over was offered anew; had it been refused then, its caller would have learned of it only at the deadline. Change: the next request is looked at before it is taken from the queue.

--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -278,13 +278,15 @@
             self._prober.start_pull(sender)
         if not idle or sender not in self.peers.list_known():
             return 0
-        waiting = self.admission.take_next()
+        waiting = self.admission.peek_next()
         if waiting is None:
             return 0
+        # What can't be handed over keeps its place: offered anew it might be refused,
+        # with nobody to tell its caller before the deadline.
         job = self._jobs[waiting.attempt]
         if job.hops >= MAX_HOPS or is_feed_wanted(job.request):
-            self._offer(job)
             return 0
+        self.admission.withdraw(waiting.attempt)
         job.peer = sender
         job.decided.set()
         return 1
--- a/ibisshunt/coordination/requests/admission.py
+++ b/ibisshunt/coordination/requests/admission.py
@@ -121,7 +121,7 @@
         """Give a free slot to the next request, or return None."""
         if len(self.running) >= self.count_usable(share):
             return None
-        waiting = self._pick()
+        waiting = self.peek_next()
         if waiting is None:
             return None
         self.withdraw(waiting.attempt)
@@ -130,7 +130,7 @@
 
     def take_next(self) -> Waiting | None:
         """Remove the request that would start next, for an idle agent to run."""
-        waiting = self._pick()
+        waiting = self.peek_next()
         if waiting is not None:
             self.withdraw(waiting.attempt)
         return waiting
@@ -163,7 +163,8 @@
             change = seconds - self.service_seconds
             self.service_seconds += SMOOTHING * change
 
-    def _pick(self) -> Waiting | None:
+    def peek_next(self) -> Waiting | None:
+        """Return the request that would start next; it stays in the queue."""
         if not self._order:
             return None
         return self._waiting[self._order.peekitem(0)[1]]
--- a/tests/components/requests/test_front.py
+++ b/tests/components/requests/test_front.py
@@ -1,4 +1,5 @@
 import http.client
+import time
 
 import gevent
 import pytest
@@ -226,6 +227,22 @@
         assert agent.requests.front.policy.timeout_ms == 700
 
 
+def test_a_feed_that_waits_stays_with_its_agent(service):
+    # Idle agents pull what waits, but a feed would tie up two agents for its life.
+    agent = service.agents[0]
+    agent.target.gate.clear()
+    first = gevent.spawn(send, agent, "GET", "/long", Accept="text/event-stream")
+    wait_for(lambda: agent.target.runs)
+    second = gevent.spawn(send, agent, "GET", "/feed", Accept="text/event-stream")
+    heard = [one.requests.dispatcher.sharing.find_longest for one in service.agents[1:]]
+    wait_for(lambda: any(find(time.monotonic()) is not None for find in heard))
+    gevent.sleep(0.1)
+    assert agent.requests.dispatcher.admission.queued == 1
+    agent.target.gate.set()
+    assert [first.get()[0], second.get()[0]] == [200, 200]
+    assert len(agent.target.runs) == 2
+
+
 def test_feeds_do_not_eat_slots(service):
     agent = service.agents[0]
     agent.target.mode = "feed"
