--- a/ibisshunt/coordination/requests/admission.py
+++ b/ibisshunt/coordination/requests/admission.py
@@ -107,6 +107,8 @@
             return Refused(Refusal.STOPPING, retry_after)
         if now + wait + self.service_seconds > deadline:
             return Refused(Refusal.TOO_LATE, retry_after)
+        if self.queued == 0 and len(self.running) < self.count_usable(share):
+            return None
         if self.queued >= self.queue_limit:
             return Refused(Refusal.QUEUE_FULL, retry_after)
         # One caller alone may fill half of the queue; the rest is for the others.
@@ -119,7 +121,7 @@
         """Give a free slot to the next request, or return None."""
         if len(self.running) >= self.count_usable(share):
             return None
-        waiting = self._pick()
+        waiting = self.peek_next()
         if waiting is None:
             return None
         self.withdraw(waiting.attempt)
@@ -128,7 +130,7 @@
 
     def take_next(self) -> Waiting | None:
         """Remove the request that would start next, for an idle agent to run."""
-        waiting = self._pick()
+        waiting = self.peek_next()
         if waiting is not None:
             self.withdraw(waiting.attempt)
         return waiting
@@ -161,7 +163,8 @@
             change = seconds - self.service_seconds
             self.service_seconds += SMOOTHING * change
 
-    def _pick(self) -> Waiting | None:
+    def peek_next(self) -> Waiting | None:
+        """Return the request that would start next; it stays in the queue."""
         if not self._order:
             return None
         return self._waiting[self._order.peekitem(0)[1]]
--- a/ibisshunt/programs.py
+++ b/ibisshunt/programs.py
@@ -47,8 +47,8 @@
     )
     announcer = node.setup_announcement(kernel, settings, credentials)
     agent_packets.setup(kernel, settings)
-    requests.setup(kernel, settings)
     agent_streams.setup(kernel, settings)
+    requests.setup(kernel, settings)
     admin.setup(kernel, settings.admin)
     # Registered last and so unloaded first: control must hear that the target leaves
     # before the agent stops to take work, or new flows would be refused meanwhile.
--- a/tests/components/requests/test_front.py
+++ b/tests/components/requests/test_front.py
@@ -1,11 +1,14 @@
 import http.client
+import time
 
 import gevent
 import pytest
 from gevent.server import StreamServer
 
 from ibisshunt.model.address import Address
+from ibisshunt.model.record import RequestPolicy
 from tests.components.requests.request_service import (
+    Agent,
     RequestService,
     connect,
     open_raw,
@@ -160,9 +163,31 @@
         assert connection.getresponse().read() == b"answer to second"
 
 
-def test_a_target_that_is_not_there_is_not_run_and_another_agent_runs_it(service):
-    # Hazard 24: the target refuses connections. No byte has reached it, so the request
-    # may run elsewhere; alone, the caller is told "not run".
+def test_another_agent_runs_what_a_target_can_not_take(service):
+    # Hazard 24: the target refuses connections, its agent has retries to spend and
+    # knows the others: the swap runs once, elsewhere.
+    agent = service.agents[0]
+    for _ in range(12):
+        send(agent, "GET")
+    wait_for(lambda: agent.requests.dispatcher.sharing.list_heard())
+    agent.target.server.close()
+    assert outcome(send(agent, body=b"swap")) == (200, "done")
+    assert sum(one.target.runs.count(b"swap") for one in service.agents) == 1
+
+
+def test_a_leaving_agent_hands_on_what_still_arrives(service):
+    # Hazard 23: the target leaves while callers still hold connections to its agent.
+    agent = service.agents[0]
+    wait_for(lambda: agent.requests.dispatcher.sharing.list_heard())
+    agent.announcement.leaving = True
+    wait_for(lambda: not agent.requests.is_ready())
+    assert outcome(send(agent, body=b"swap")) == (200, "done")
+    assert agent.target.runs == []
+
+
+def test_a_target_that_is_not_there_is_told_not_run(service):
+    # Hazard 24: the target refuses connections and there are no retries to spend. No
+    # byte has reached it.
     agent = service.agents[0]
     agent.target.server.close()
     reply = send(agent, body=b"swap")
@@ -191,6 +216,33 @@
     dropped.stop()
 
 
+def test_a_changed_record_is_followed(service):
+    service.slots = 2
+    service.policy = RequestPolicy(queue_limit=3, timeout_ms=700, retry_share=0.5)
+    service.publish()
+    for agent in service.agents:
+        dispatcher = agent.requests.dispatcher
+        assert (dispatcher.admission.slots, dispatcher.admission.queue_limit) == (2, 3)
+        assert dispatcher.budget.share == 0.5
+        assert agent.requests.front.policy.timeout_ms == 700
+
+
+def test_a_feed_that_waits_stays_with_its_agent(service):
+    # Idle agents pull what waits, but a feed would tie up two agents for its life.
+    agent = service.agents[0]
+    agent.target.gate.clear()
+    first = gevent.spawn(send, agent, "GET", "/long", Accept="text/event-stream")
+    wait_for(lambda: agent.target.runs)
+    second = gevent.spawn(send, agent, "GET", "/feed", Accept="text/event-stream")
+    heard = [one.requests.dispatcher.sharing.find_longest for one in service.agents[1:]]
+    wait_for(lambda: any(find(time.monotonic()) is not None for find in heard))
+    gevent.sleep(0.1)
+    assert agent.requests.dispatcher.admission.queued == 1
+    agent.target.gate.set()
+    assert [first.get()[0], second.get()[0]] == [200, 200]
+    assert len(agent.target.runs) == 2
+
+
 def test_feeds_do_not_eat_slots(service):
     agent = service.agents[0]
     agent.target.mode = "feed"
@@ -261,6 +313,33 @@
     assert sum(runs) == 9
 
 
+def test_agents_that_restart_beside_living_targets_never_say_never_seen(service):
+    # Hazard 20: two of three agents restart at once with empty ledgers. Their targets
+    # live on, so control leaves them their incarnations. A resend gets its answer from
+    # the third agent, or "unknown" when both holders of its key were lost.
+    for n in range(12):
+        send(service.agents[n % 3], body=b"%d" % n, Idempotency_Key=f"k{n}")
+    for place in (0, 1):
+        old = service.agents[place]
+        old.kill()
+        service.agents[place] = Agent(old.name, old.domain, old.incarnation, old.target)
+    service.left_revision = service.revision + 1
+    service.publish()
+    service.wait_open()
+    told = []
+    for n in range(12):
+        again = send(service.agents[n % 3], body=b"%d" % n, Idempotency_Key=f"k{n}")
+        told.append(outcome(again))
+        assert again[0] != 200 or again[2] == b"answer to %d" % n
+    assert set(told) == {(200, "done"), (504, "unknown")}
+    assert sum(len(one.target.runs) for one in service.agents) == 12
+    fresh = [
+        outcome(send(service.agents[0], body=b"n", Idempotency_Key=f"new{n}"))
+        for n in range(12)
+    ]
+    assert (200, "done") in fresh
+
+
 @pytest.mark.parametrize(
     ("headers", "status"),
     [
