Show the log in metrics, name folder and file in storage errors, count oneself once

Cause: operators need the state of the log and the damaged file; a host that lists itself as a peer would have counted twice when it founds a cluster. Change: samples for the metrics page, errors of the system carry step and path, own name left out of the peers, a test that three hosts grow to five.

--- a/ibisshunt/components/consensus/__init__.py
+++ b/ibisshunt/components/consensus/__init__.py
@@ -21,17 +21,19 @@
 """
 
 import secrets
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import gevent
 
 from ...core import Kernel
+from ...exceptions import Fault, StorageError
 from ...settings import ControlSettings
-from ..storage import DiskFiles, Store
+from ..storage import DiskFiles, Recovered, Store
 from .driver import StateMachine
 from .replicated_log import Options, ReplicatedLog
-from .report import dump_log
+from .report import dump_log, list_samples
 from .serving import make_handlers
 
 __all__ = ["Options", "ReplicatedLog", "StateMachine", "make_handlers", "setup"]
@@ -47,16 +49,33 @@
     options: Options | None = None,
 ) -> ReplicatedLog:
     """Recover the log from the data folder; raise StorageError when it is damaged."""
-    store = Store(DiskFiles(Path(settings.data_folder), _run_in_thread))
-    recovered = store.recover(settings.name, lambda: secrets.token_hex(DISK_ID_BYTES))
+    # A host that is its own peer would count twice for a quorum.
+    others = {n: found for n, found in settings.peers.items() if n != settings.name}
+    settings = replace(settings, peers=others)
+    folder = Path(settings.data_folder)
+    store = Store(DiskFiles(folder, _run_in_thread))
+    recovered = _recover(store, folder, settings.name)
     log = ReplicatedLog(
         settings, machine, store, recovered, kernel.spawn, options or Options()
     )
     name = f"{SERVICE}-{settings.name}" if SERVICE in kernel.names() else SERVICE
     kernel.register(name, log, log.stop, lambda: dump_log(log))
+    if "metrics" in kernel.names():
+        kernel.find("metrics").collect(lambda: list_samples(log))
     return log
 
 
+def _recover(store: Store, folder: Path, name: str) -> Recovered:
+    try:
+        return store.recover(name, lambda: secrets.token_hex(DISK_ID_BYTES))
+    except StorageError as error:
+        store.close()
+        # Several control hosts may run in one process: name the folder as well.
+        fault = error.fault
+        peer = str(folder / fault.peer)
+        raise StorageError(Fault(fault.step, peer, fault.reason)) from error
+
+
 def _run_in_thread(function: Any, args: tuple[Any, ...]) -> Any:
     """Let other tasks run while the disk is busy."""
     return gevent.get_hub().threadpool.apply(function, args)
--- a/ibisshunt/components/consensus/report.py
+++ b/ibisshunt/components/consensus/report.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ...coordination.consensus import has_fresh_quorum
+from ...helpers.metrics import Sample, SampleKind
 from .replicated_log import ReplicatedLog, read_clock
 
 
@@ -31,20 +32,27 @@
     }
 
 
-def list_figures(log: ReplicatedLog) -> list[tuple[str, str, float]]:
-    """Return name, kind and value of each metric."""
+def list_samples(log: ReplicatedLog) -> list[Sample]:
+    """Return the metrics, labelled with the name of the control host."""
     driver, state = log.driver, log.driver.state
-    return [
-        ("consensus_term", "gauge", state.term),
-        ("consensus_is_leader", "gauge", float(log.is_leading())),
-        ("consensus_commit_index", "gauge", state.commit),
-        ("consensus_applied_index", "gauge", driver.applied),
-        ("consensus_members", "gauge", len(_members(log))),
-        ("consensus_waiting_proposals", "gauge", log.count_waiting()),
-        ("consensus_syncs_total", "counter", driver.syncs),
-        ("consensus_snapshots_total", "counter", driver.snapshots),
-        ("consensus_sent_bytes_total", "counter", log.links.count_sent_bytes()),
-        ("consensus_lost_envelopes_total", "counter", log.links.count_lost()),
+    gauges = {
+        "consensus_term": state.term,
+        "consensus_is_leader": int(log.is_leading()),
+        "consensus_commit_index": state.commit,
+        "consensus_applied_index": driver.applied,
+        "consensus_members": len(_members(log)),
+        "consensus_waiting_requests": log.count_waiting(),
+    }
+    counters = {
+        "consensus_syncs_total": driver.syncs,
+        "consensus_snapshots_total": driver.snapshots,
+        "consensus_sent_bytes_total": log.links.count_sent_bytes(),
+        "consensus_lost_envelopes_total": log.links.count_lost(),
+    }
+    labels = {"host": log.settings.name}
+    found = [Sample(n, SampleKind.GAUGE, labels, v) for n, v in gauges.items()]
+    return found + [
+        Sample(n, SampleKind.COUNTER, labels, v) for n, v in counters.items()
     ]
 
 
--- a/ibisshunt/components/storage/files.py
+++ b/ibisshunt/components/storage/files.py
@@ -3,7 +3,8 @@
 import errno
 import fcntl
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -91,11 +92,8 @@
 
     def read(self, name: str) -> bytes:
         """Return the whole content."""
-        path = self._folder / name
-        try:
-            return path.read_bytes()
-        except OSError as error:
-            raise _explain("read file", str(path), error) from error
+        with self._explaining("read file", name):
+            return (self._folder / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
         """Write at the end; a write that fails is cut off again."""
@@ -111,7 +109,8 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes."""
-        os.ftruncate(self._open(name), size)
+        with self._explaining("truncate file", name):
+            os.ftruncate(self._open(name), size)
 
     def sync(self, name: str) -> None:
         """Return when the bytes last; a failed sync is never tried again.
@@ -119,10 +118,8 @@
         After a failed fsync the kernel may drop the dirty pages and report success
         the next time, so that a retry would claim bytes that are not there.
         """
-        try:
+        with self._explaining("sync file", name):
             self._run(os.fsync, (self._open(name),))
-        except OSError as error:
-            raise _explain("sync file", str(self._folder / name), error) from error
 
     def sync_folder(self) -> None:
         """Return when names last."""
@@ -138,12 +135,14 @@
         """Give a file another name in one step."""
         self._forget(old)
         self._forget(new)
-        os.rename(self._folder / old, self._folder / new)
+        with self._explaining("rename file", old):
+            os.rename(self._folder / old, self._folder / new)
 
     def remove(self, name: str) -> None:
         """Remove a file."""
         self._forget(name)
-        os.unlink(self._folder / name)
+        with self._explaining("remove file", name):
+            os.unlink(self._folder / name)
 
     def free_bytes(self) -> int:
         """Return the space that an ordinary user may still fill."""
@@ -160,14 +159,19 @@
 
     def _open(self, name: str) -> int:
         if name not in self._handles:
-            path = self._folder / name
             flags = os.O_RDWR | os.O_CREAT | os.O_APPEND
-            try:
-                self._handles[name] = os.open(path, flags, 0o600)
-            except OSError as error:
-                raise _explain("open file", str(path), error) from error
+            with self._explaining("open file", name):
+                self._handles[name] = os.open(self._folder / name, flags, 0o600)
         return self._handles[name]
 
+    @contextmanager
+    def _explaining(self, step: str, name: str) -> Iterator[None]:
+        """Turn an error of the system into one that names step and file."""
+        try:
+            yield
+        except OSError as error:
+            raise _explain(step, str(self._folder / name), error) from error
+
     def _forget(self, name: str) -> None:
         handle = self._handles.pop(name, None)
         if handle is not None:
--- a/tests/components/consensus/test_failures.py
+++ b/tests/components/consensus/test_failures.py
@@ -400,3 +400,19 @@
     hosts.run(6.0)
     accept(hosts, 2)
     hosts.settle()
+
+
+def test_three_hosts_grow_to_five_one_at_a_time():
+    # Two more control hosts are started. Each is a learner first and a voter once it
+    # has the log; no two changes are under way at once.
+    hosts = Hosts(5)
+    hosts.found(3)
+    hosts.run(4.0)
+    accept(hosts, 10)
+    hosts.settle()
+    members = hosts.find_leader().driver.state.log.membership.members
+    assert [member.voter for member in members] == [True] * 5
+    for host in find_others(hosts, hosts.find_leader())[:2]:
+        host.crash()
+    accept(hosts, 2)
+    hosts.settle()
--- a/tests/components/consensus/test_replicated_log.py
+++ b/tests/components/consensus/test_replicated_log.py
@@ -14,6 +14,8 @@
     NotConfirmed,
 )
 from ibisshunt.core import Kernel
+from ibisshunt.exceptions import StorageError
+from ibisshunt.helpers.metrics import Metrics
 from ibisshunt.model.address import Address
 from ibisshunt.protocol.rpc import Server
 from ibisshunt.settings import ControlSettings
@@ -48,6 +50,7 @@
     def start(self, peers):
         self.applied = []
         self.kernel = Kernel()
+        self.kernel.register("metrics", Metrics())
         machine = StateMachine(self.apply, self.take_snapshot, self.restore)
         settings = ControlSettings(
             self.name,
@@ -159,3 +162,48 @@
     assert isinstance(fault, NotAccepted)
     assert "full" in fault.reason
     host.stop()
+
+
+def test_dump_and_metrics_show_the_state(tmp_path):
+    host = ControlHost("c1", tmp_path)
+    host.bind()
+    host.start([])
+    host.log.propose(b"v", 10.0).unwrap()
+    shown = host.kernel.dump()["replicated-log"]
+    assert (shown["role"], shown["has_fresh_quorum"]) == ("leader", True)
+    assert shown["applied"] == shown["commit"] == shown["last_index"]
+    page, _ = host.kernel.find("metrics").render()
+    assert b'consensus_is_leader{host="c1"} 1' in page
+    host.stop()
+
+
+def test_a_host_that_lists_itself_as_a_peer_counts_once(tmp_path):
+    host = ControlHost("c1", tmp_path)
+    host.bind()
+    twin = ControlHost("c1", tmp_path)
+    twin.address = host.address
+    host.start([twin])
+    host.log.propose(b"v", 10.0).unwrap()
+    assert len(host.log.driver.state.log.membership.members) == 1
+    host.stop()
+
+
+def test_a_damaged_log_names_the_file_and_stays_as_it_is(tmp_path):
+    # A bad sector in an old record: the host must not start on a part of its log, and
+    # must leave the files for whoever looks into it.
+    host = ControlHost("c1", tmp_path)
+    host.bind()
+    host.start([])
+    for _ in range(5):
+        host.log.propose(b"v", 10.0).unwrap()
+    host.stop()
+    path = next(tmp_path.glob("wal-*"))
+    damaged = bytearray(path.read_bytes())
+    damaged[len(damaged) // 2] ^= 1
+    path.write_bytes(damaged)
+    host.bind()
+    with pytest.raises(StorageError, match="offset") as caught:
+        host.start([])
+    assert caught.value.fault.peer == str(path)
+    assert path.read_bytes() == bytes(damaged)
+    host.server.stop(0.1)
