--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -23,26 +23,23 @@
 )
 from ...coordination.consensus.membership import name_of, needs_admission
 from ...coordination.consensus.state import Event
-from ...exceptions import Fault, RpcError
-from ...helpers.logging import log_event, warn_event
+from ...exceptions import Fault
 from ...helpers.mailbox import Mailbox
 from ...model.address import Address, parse_address
-from ...protocol.consensus import FORWARD, ForwardRequest
 from ...protocol.rpc import Channel
 from ...settings import ControlSettings
 from ..storage import Recovered, Store
 from .driver import Driver, StateMachine
+from .forwarding import Forwarder
 from .joining import Joiner
 from .links import Links, MakeChannel, Spawn
+from .room import Room
 from .tickets import Tickets
 
 TICK_SECONDS = 0.05
 RETRY_SECONDS = 0.05
 READ_ATTEMPT_SECONDS = 1.0
-ROOM_CHECK_SECONDS = 1.0
 STOP_SECONDS = 3.0
-# What a forwarded proposal gets on top for the way there and back.
-FORWARD_MARGIN_SECONDS = 0.5
 MAX_BATCH_EVENTS = 1_024
 MAX_WAITING_EVENTS = 8_192
 MAX_COMMAND_BYTES = 1024 * 1024
@@ -107,13 +104,12 @@
             self._find_cluster,
             self.give,
         )
-        self._channels: dict[Address, Channel] = {}
+        self._forwarder = Forwarder(options.make_channel)
+        self._room = Room(store.free_bytes, options.reserved_bytes)
         self._tasks: list[Any] = []
         self._loop: Any = None
         self._stopping = False
         self._stopped = False
-        self._is_full = False
-        self._room_deadline = 0.0
 
     # What other services call.
 
@@ -214,8 +210,7 @@
         for task in self._tasks:
             task.kill()
         self.links.close()
-        for channel in self._channels.values():
-            channel.close()
+        self._forwarder.close()
         self._store.close()
 
     def give(self, event: Event) -> bool:
@@ -242,13 +237,14 @@
                 # before messages that lay in the mailbox are believed.
                 events.insert(0, Tick())
                 next_tick = now + TICK_SECONDS
-                self._check_room(now)
+                if self._room.check(now) and self._room.is_full and self.is_leading():
+                    events.append(Transfer())
             if events:
                 self.driver.step(events, now)
             gevent.sleep(0)
 
     def _gather(self, timeout: float) -> list[Event]:
-        first = self._mailbox.receive(max(0.0, timeout) or TICK_SECONDS / 10)
+        first = self._mailbox.receive(max(0.0, timeout))
         events = [] if first is None else [first]
         while events and len(events) < MAX_BATCH_EVENTS and len(self._mailbox):
             event = self._mailbox.receive(0)
@@ -260,22 +256,6 @@
         # A proposal whose caller gave up would only delay those who still wait.
         return isinstance(event, Propose | Read) and event.ticket not in self._tickets
 
-    def _check_room(self, now: float) -> None:
-        if now < self._room_deadline:
-            return
-        self._room_deadline = now + ROOM_CHECK_SECONDS
-        free = self._store.free_bytes()
-        is_full = free < self.options.reserved_bytes
-        if is_full == self._is_full:
-            return
-        self._is_full = is_full
-        if is_full:
-            reserved = self.options.reserved_bytes
-            warn_event("disk_nearly_full", free_bytes=free, reserved_bytes=reserved)
-            self._mailbox.send(Transfer())
-        else:
-            log_event("disk_has_room", free_bytes=free)
-
     def _find_cluster(self) -> str:
         return self.driver.state.hard.cluster
 
@@ -296,7 +276,7 @@
             return f"{len(command)} bytes, at most {MAX_COMMAND_BYTES} are taken"
         if self._stopping:
             return "this host is stopping"
-        if self._is_full and self.is_leading():
+        if self._room.is_full and self.is_leading():
             return "the disk is nearly full; free space on the control host"
         return ""
 
@@ -311,22 +291,7 @@
             # Nothing is sent, so the caller need not be told "unknown" for as long as
             # it takes to elect the next leader.
             return _refuse(f"the leader at {address} does not answer")
-        return self._forward(address, command, left)
-
-    def _forward(
-        self, address: Address, command: bytes, timeout: float
-    ) -> Result[bytes, Fault]:
-        if address not in self._channels:
-            self._channels[address] = self.options.make_channel(address)
-        request = ForwardRequest(command, timeout)
-        try:
-            reply = self._channels[address].call(
-                FORWARD, request, timeout + FORWARD_MARGIN_SECONDS
-            )
-        except RpcError as error:
-            reason = error.fault.reason
-            return Failure(OutcomeUnknown("forward proposal", str(address), reason))
-        return reply.to_result(str(address))
+        return self._forwarder.forward(address, command, left)
 
     def _ask(self, event: Event, ticket: int, timeout: float) -> Result[Any, Fault]:
         if not self._mailbox.send(event):
--- a/tests/components/consensus/test_replicated_log.py
+++ b/tests/components/consensus/test_replicated_log.py
@@ -207,3 +207,22 @@
     assert caught.value.fault.peer == str(path)
     assert path.read_bytes() == bytes(damaged)
     host.server.stop(0.1)
+
+
+def test_a_leader_with_a_full_disk_hands_the_lead_over(tmp_path):
+    # The founder's disk is full. Changes must not be refused for long: another host
+    # with room leads, and the full one goes on as a follower.
+    full = Options(FAST, reserved_bytes=1 << 60)
+    found = [
+        ControlHost(name, tmp_path / name, full if name == "c1" else OPTIONS)
+        for name in ("c1", "c2", "c3")
+    ]
+    for host in found:
+        host.bind()
+    for host in found:
+        host.start(found)
+    wait_until(lambda: any(host.log.is_leading() for host in found[1:]))
+    # The full host refuses while it leads, so success means that another one does.
+    wait_until(lambda: is_successful(found[0].log.propose(b"v", 5.0)))
+    for host in found:
+        host.stop()
