Do not refuse a new flow because one agent is stale (mends the flaky drain feature)

Cause: balancer and leaving target knew of a drain, the other target's agent not yet: it forwarded the SYN to the leaving one, which knew nobody who had not seen it and reset the caller. Change: the leaving agent hands the flow back to the taker, with the order to take it. The scenario as a test, and in the property: no reset while a target takes new flows by every agent's table.

--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -114,4 +114,18 @@
         if state.table.is_taker(target) and not state.has_seen(header, target):
             state.point(arrival.key, target, arrival.now)
             return state.forward_to(arrival, target, header.flags | PASSED)
-    return refuse(arrival)
+    return _insist_or_refuse(state, arrival)
+
+
+def _insist_or_refuse(state: OwnerState, arrival: Arrival) -> Action:
+    """Hand a flow back to a taker that had passed it here, once; else refuse it.
+
+    Whoever passed it here by an older table held this target, which leaves, to be
+    first. Told that it has to take the flow, it does so whatever its table says.
+    """
+    flags = arrival.header.flags
+    choices = state.list_choices(arrival.key)
+    others = [one for one in choices if one.incarnation != state.incarnation]
+    if flags & PASSED or not others:
+        return refuse(arrival)
+    return state.forward_to(arrival, others[0], flags | PASSED)
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -34,6 +34,20 @@
             assert world.go_on(port, balancer).target == target
 
 
+def test_hazard_1_a_new_flow_is_not_refused_because_one_agent_is_stale():
+    """Balancer and leaving target know of the drain; the other target's agent does not.
+
+    The balancer sends the SYN to the other target. Its agent holds the leaving one to
+    be first and forwards. That one knows nobody but the other, who has seen it: the
+    caller must not be told that nobody takes its flow.
+    """
+    world = World(targets=2)
+    world.leave("t1")
+    world.agent_of("t1").set_leaving(True)
+    world.spread(agents=("t1",))
+    assert {world.open(port) for port in PORTS} == {"t2"}
+
+
 @pytest.mark.parametrize("newer", ["balancer 0", "balancer 1", "agents"])
 def test_hazard_1_nodes_with_tables_of_different_revisions(newer):
     """Balancer and agents of a flow hold different revisions.
--- a/tests/coordination/flows/test_properties.py
+++ b/tests/coordination/flows/test_properties.py
@@ -78,6 +78,23 @@
             assert outcome.target == self.owners[port]
         elif outcome.target:
             self.owners[port] = outcome.target
+        else:
+            assert not outcome.reset or not self.has_sure_taker()
+
+    def has_sure_taker(self):
+        """Tell whether one target takes new flows by every agent's table."""
+        agents = list(self.world.agents.values())
+        for target in self.world.targets.values():
+            own = self.world.agent_of(target.name).state
+            if not own.leaving and all(
+                target.incarnation in agent.state.table.by_incarnation
+                and agent.state.table.is_taker(
+                    agent.state.table.by_incarnation[target.incarnation]
+                )
+                for agent in agents
+            ):
+                return True
+        return False
 
     @rule(port=PORTS, balancer=BALANCERS)
     def go_on(self, port, balancer):
