Tell a restarted agent from a new one by the number of its start

Cause: the announcer keeps the incarnation when an agent restarts beside its target, so that peers took the restarted agent for a new place and it adopted nothing. Change: a recall carries a number that differs from one start to the next.

--- a/ibisshunt/coordination/flows/handover.py
+++ b/ibisshunt/coordination/flows/handover.py
@@ -81,7 +81,7 @@
         peer = state.table.by_incarnation.get(incarnation)
         if peer is not None:
             head = _make_return_head(state, incarnation)
-            state.send(peer, pack_recall(head, state.place))
+            state.send(peer, pack_recall(head, state.place, state.start))
 
 
 def _make_return_head(state: OwnerState, incarnation: int) -> Header:
@@ -156,9 +156,10 @@
 def _answer_recall(
     state: OwnerState, header: Header, payload: bytes, now: float
 ) -> str:
-    place = read_recall(payload).value_or(None)
-    if place is None:
+    found = read_recall(payload).value_or(None)
+    if found is None:
         return "malformed"
+    place, start = found
     keys = state.pointers.list_keys(place)
     number, revision = state.table.number, state.table.revision
     head = Header(DatagramKind.POINTER, 0, number, revision, header.origin)
@@ -166,7 +167,7 @@
         part = tuple(keys[start : start + MAX_KEYS])
         pointers = PointerList(state.incarnation, place, header.reply_to, part)
         state.send_to(header.reply_to, pack_pointers(head, pointers))
-    verdict = state.places.judge(place, header.origin)
+    verdict = state.places.judge(place, header.origin, start)
     last = replace(head, origin=state.incarnation)
     state.send_to(header.reply_to, pack_recalled(last, len(keys), verdict))
     return ""
--- a/ibisshunt/coordination/flows/recall.py
+++ b/ibisshunt/coordination/flows/recall.py
@@ -23,10 +23,11 @@
 
 
 class PlaceMemory:
-    """Remember which places were there before, and under which incarnation."""
+    """Remember which places were there before, and which agent stood there."""
 
     def __init__(self) -> None:
         self._first: dict[int, tuple[int, Verdict]] = {}
+        self._starts: dict[int, int] = {}
         self._has_table = False
 
     def note(self, targets: tuple[Target, ...]) -> None:
@@ -40,10 +41,19 @@
         while len(self._first) > MAX_PLACES:
             del self._first[next(iter(self._first))]
 
-    def judge(self, place: int, incarnation: int) -> Verdict:
-        """Tell what is known of a place whose agent has just started."""
+    def judge(self, place: int, incarnation: int, start: int) -> Verdict:
+        """Tell what is known of a place whose agent has just started.
+
+        An agent that restarts beside its target may keep its incarnation, so that
+        the number of the start tells one agent from the next.
+        """
         first, verdict = self._first.get(place, (incarnation, Verdict.FRESH))
-        return verdict if first == incarnation else Verdict.KNOWN
+        if len(self._starts) >= MAX_PLACES:
+            self._starts.clear()
+        known_start = self._starts.setdefault(place, start)
+        if first != incarnation or known_start != start:
+            return Verdict.KNOWN
+        return verdict
 
 
 class Recall:
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -67,6 +67,7 @@
         self.idle = 0.0
         self.admit = make_caller_check(())
         self.place = 0
+        self.start = int(now * 1e6) & 0xFFFF_FFFF_FFFF_FFFF
         self._started = now
         self._changed = [now] * BUCKETS
         self._firsts: list[int] = []
--- a/ibisshunt/protocol/datagram.py
+++ b/ibisshunt/protocol/datagram.py
@@ -29,7 +29,8 @@
 # owner's place, number of keys
 _POINTER = struct.Struct("!QH")
 _LOAD = struct.Struct("!d")
-_PLACE = struct.Struct("!Q")
+# place, number of the start
+_RECALL = struct.Struct("!QQ")
 # number of keys sent before, verdict on the place
 _RECALLED = struct.Struct("!IB")
 
@@ -164,17 +165,20 @@
     return Success(_LOAD.unpack(payload)[0])
 
 
-def pack_recall(header: Header, place: int) -> bytes:
-    """Return a datagram that asks a peer for the flows it knows of a target."""
+def pack_recall(header: Header, place: int, start: int) -> bytes:
+    """Return a datagram that asks a peer for the flows it knows of a target.
+
+    ``start`` is a number of 64 bits that differs from one start to the next.
+    """
     head = replace(header, kind=DatagramKind.RECALL)
-    return pack_header(head) + _PLACE.pack(place)
+    return pack_header(head) + _RECALL.pack(place, start)
 
 
-def read_recall(payload: bytes) -> Result[int, Fault]:
-    """Read the payload of a RECALL datagram."""
-    if len(payload) != _PLACE.size:
+def read_recall(payload: bytes) -> Result[tuple[int, int], Fault]:
+    """Read place and start of a RECALL datagram."""
+    if len(payload) != _RECALL.size:
         return Failure(Fault("read recall", "", f"{len(payload)} bytes"))
-    return Success(_PLACE.unpack(payload)[0])
+    return Success(_RECALL.unpack(payload))
 
 
 def pack_recalled(header: Header, total: int, verdict: int) -> bytes:
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -260,8 +260,12 @@
     check_all(world, owners)
 
 
+@pytest.mark.parametrize("name", ["t2", "t5"])
+@pytest.mark.parametrize("same_incarnation", [True, False])
 @pytest.mark.parametrize("hand_over", [True, False])
-def test_hazard_8_an_agent_restarts_beside_a_living_target(hand_over):
+def test_hazard_8_an_agent_restarts_beside_a_living_target(
+    hand_over, same_incarnation, name
+):
     """The agent's flow table is gone; the target's connections are not.
 
     After a planned restart the peers know what it owned. After a crash nobody does:
@@ -269,7 +273,10 @@
     """
     world = World(targets=4)
     owners = open_all(world)
-    world.restart_agent("t2", hand_over)
+    world.add("t5")
+    world.spread()
+    owners |= open_all(world, range(41_000, 41_100))
+    world.restart_agent(name, hand_over, same_incarnation)
     world.spread()
     check_all(world, owners)
     check_all(world, owners)
--- a/tests/coordination/flows/test_planned_changes.py
+++ b/tests/coordination/flows/test_planned_changes.py
@@ -86,6 +86,13 @@
             yield
 
 
+def roll_agents_that_keep_their_incarnation(world):
+    for name in sorted({one.name for one in world.targets.values()}):
+        world.restart_agent(name, same_incarnation=True)
+        world.spread(agents=(name,), balancers=())
+        yield
+
+
 def upgrade_half(world):
     """Restart half of the balancers and agents: a new release keeps the formats."""
     world.balancers[0] = Router()
@@ -115,6 +122,7 @@
     remove_balancer,
     roll_balancers,
     roll_agents,
+    roll_agents_that_keep_their_incarnation,
     upgrade_half,
     change_schema_version,
 ]
@@ -175,6 +183,7 @@
         (warm_up_cold_target, drain_target),
         (upgrade_half, change_schema_version),
         (roll_agents, roll_balancers),
+        (roll_agents_that_keep_their_incarnation, replace_target),
     ],
     ids=lambda one: getattr(one, "__name__", one),
 )
--- a/tests/coordination/flows/test_properties.py
+++ b/tests/coordination/flows/test_properties.py
@@ -151,8 +151,12 @@
             self.world.leave(name)
             self.world.agent_of(name).set_leaving(agent_knows)
 
-    @rule(number=PICKS, balancers=st.sampled_from([(), (0, 1), (0, 1, 2)]))
-    def roll_agent(self, number, balancers):
+    @rule(
+        number=PICKS,
+        same=st.booleans(),
+        balancers=st.sampled_from([(), (0, 1), (0, 1, 2)]),
+    )
+    def roll_agent(self, number, same, balancers):
         name = self.pick(number)
         known = self.world.agent_of(name).state.table.targets
         if len(known) == 1:
@@ -160,7 +164,7 @@
             # adopted, as they are after a crash, but a SYN that is sent again cannot
             # be told from a new one.
             self.unbacked |= self.owners.keys()
-        self.world.restart_agent(name)
+        self.world.restart_agent(name, same_incarnation=same)
         self.world.spread(agents=(name,), balancers=balancers)
 
     @rule(balancer=BALANCERS)
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -121,11 +121,12 @@
     old, new = make_target(1), make_target(2)
     memory.note((old,))
     memory.note((old, new))
-    assert memory.judge(identify_place(old), 1) == Verdict.UNSURE
-    assert memory.judge(identify_place(old), 9) == Verdict.KNOWN
-    assert memory.judge(identify_place(new), 2) == Verdict.FRESH
-    assert memory.judge(identify_place(new), 3) == Verdict.KNOWN
-    assert memory.judge(12345, 4) == Verdict.FRESH
+    assert memory.judge(identify_place(old), 1, 50) == Verdict.UNSURE
+    assert memory.judge(identify_place(old), 9, 50) == Verdict.KNOWN
+    assert memory.judge(identify_place(new), 2, 60) == Verdict.FRESH
+    assert memory.judge(identify_place(new), 3, 60) == Verdict.KNOWN
+    assert memory.judge(12345, 4, 70) == Verdict.FRESH
+    assert memory.judge(identify_place(new), 2, 61) == Verdict.KNOWN
 
 
 def test_a_syn_while_tables_disagree_is_taken_once():
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -103,14 +103,19 @@
     def leave(self, name):
         self.change(name, state=TargetState.LEAVING)
 
-    def restart_agent(self, name, hand_over=True):
-        """Replace the agent beside a living target: new incarnation, same address."""
+    def restart_agent(self, name, hand_over=True, same_incarnation=False):
+        """Replace the agent beside a living target, at the same address."""
         old = self.find(name)
         agent = self.agent_of(name)
         if hand_over:
             for _ in agent.hand_over(everything=True):
                 pass
             self._carry_notices(agent)
+        self.now += 0.1
+        if same_incarnation:
+            pair = old.announcement.packets.as_pair()
+            self.agents[pair] = FlowOwner(agent.state.flows.limit, self.now)
+            return old
         del self.targets[old.incarnation]
         return self.add(name, packets=old.announcement.packets)
 
