--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -4,7 +4,7 @@
 
 from ...model.record import SharingPolicy
 from ...model.target import Target
-from ...protocol.datagram import PASSED, SEEKING, SOUGHT
+from ...protocol.datagram import INSISTED, PASSED, SEEKING, SOUGHT
 from .actions import Action
 from .loads import find_load
 from .ranking import find_bucket
@@ -120,12 +120,12 @@
 def _insist_or_refuse(state: OwnerState, arrival: Arrival) -> Action:
     """Hand a flow back to a taker that had passed it here, once; else refuse it.
 
-    Whoever passed it here by an older table held this target, which leaves, to be
-    first. Told that it has to take the flow, it does so whatever its table says.
+    Whoever passed it here, by its table or by its load, did not know that this target
+    takes no flow. Told that it has to take the flow, it does so.
     """
     flags = arrival.header.flags
     choices = state.list_choices(arrival.key)
     others = [one for one in choices if one.incarnation != state.incarnation]
-    if flags & PASSED or not others:
+    if flags & INSISTED or not others:
         return refuse(arrival)
-    return state.forward_to(arrival, others[0], flags | PASSED)
+    return state.forward_to(arrival, others[0], flags | PASSED | INSISTED)
--- a/ibisshunt/protocol/datagram.py
+++ b/ibisshunt/protocol/datagram.py
@@ -22,6 +22,7 @@
 SOUGHT: Final = 4  # no other agent owns the flow: back at the agent that asked
 BY_POINTER: Final = 8  # the sender holds a pointer that names the receiver as owner
 PASSED: Final = 16  # passed on by load or bound: the receiver takes or refuses it
+INSISTED: Final = 32  # handed back to a taker that passed it on: nobody else takes it
 
 # version, kind, flags, hops, service number, revision, target, origin, its address
 _HEADER = struct.Struct("!BBBBIQQQ4sH")
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -409,6 +409,25 @@
     check_all(world, new)
 
 
+@pytest.mark.parametrize("loaded", ["t1", "t2"])
+def test_hazard_9_a_flow_that_a_leaving_target_got_by_load_is_handed_back(loaded):
+    """There are two targets. One leaves, which only its own agent knows so far.
+
+    The other is more loaded and passes new flows to it. It must get them back and take
+    them: the caller must not be refused while a target takes new flows.
+    """
+    world = World(targets=2, sharing="hunting")
+    for extra in range(40):
+        key = b"%013d" % extra
+        world.agent_of(loaded).state.flows.touch(key, 0, world.now, 60)
+    world.tell_loads()
+    leaving = "t2" if loaded == "t1" else "t1"
+    world.agent_of(leaving).set_leaving(True)
+    new = {port: world.open(port) for port in PORTS}
+    assert set(new.values()) == {loaded}
+    check_all(world, new)
+
+
 def test_hazard_10_half_of_a_configuration_is_new():
     """Service A's record has moved to B's former address; B's has not been applied.
 
