Tell peers of flows before an agent crashes

Cause: an agent that crashes hands nothing over. With two agents in recovery, the first on a packet's way adopted flows of the other.

--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -208,6 +208,7 @@
 
     def _report(self, now: float) -> None:
         self._owner.tell_load()
+        self._owner.tell_flows()
         self._send_notices()
         wanted = self._owner.take_wanted_revision()
         if wanted:
--- a/ibisshunt/coordination/flows/handover.py
+++ b/ibisshunt/coordination/flows/handover.py
@@ -23,6 +23,8 @@
 
 # Peers that hear of each flow before a planned stop: one of them may be lost.
 COPIES: Final = 2
+# Bounds the bytes of an agent with very many flows: about 3 KB a part.
+MOST_PARTS_PER_SECOND: Final = 3.0
 
 
 def hand_over(state: OwnerState, everything: bool) -> Iterator[int]:
@@ -36,6 +38,35 @@
         yield len(part)
 
 
+class Reporter:
+    """Tell two peers of each flow once it is new, and again before they forget it.
+
+    An agent that crashes hands nothing over: what its peers were told before is what
+    its successor recalls.
+    """
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+        self._rounds = hand_over(state, everything=True)
+        self._due = 0.0
+
+    def report(self) -> None:
+        """Send what is due; call it once a second."""
+        state = self._state
+        if state.table is None or state.own is None:
+            return
+        new, state.untold = state.untold, []
+        for start in range(0, len(new), MAX_KEYS):
+            _hand_over_part(state, new[start : start + MAX_KEYS], everything=True)
+        # Every flow comes round twice within the idle timeout.
+        self._due += len(state.flows) / MAX_KEYS / (state.idle / 2)
+        self._due = min(self._due, MOST_PARTS_PER_SECOND)
+        while self._due >= 1:
+            self._due -= 1
+            if next(self._rounds, None) is None:
+                self._rounds = hand_over(state, everything=True)
+
+
 def _hand_over_part(state: OwnerState, keys: list[bytes], everything: bool) -> None:
     lists: dict[int, list[bytes]] = {}
     for key in keys:
--- a/ibisshunt/coordination/flows/owner.py
+++ b/ibisshunt/coordination/flows/owner.py
@@ -5,7 +5,7 @@
 from ...protocol.datagram import BY_POINTER, KNOWN_ONLY, Header
 from ...protocol.packet import ICMP_ERROR, OPENS, TCP
 from .actions import DELIVER, Action, Notice
-from .handover import ask_for_flows, hand_over, receive_notice, start_recall
+from .handover import Reporter, ask_for_flows, hand_over, receive_notice, start_recall
 from .loads import tell_load
 from .openings import open_flow
 from .state import Arrival, OwnerState, drop
@@ -23,6 +23,7 @@
     def __init__(self, max_flows: int, now: float) -> None:
         self.state = OwnerState(max_flows, now)
         self._turn = 0
+        self._reporter = Reporter(self.state)
 
     def update(self, table: ServiceTable, incarnation: int, now: float) -> None:
         """Take a table and the agent's own incarnation into force."""
@@ -110,6 +111,10 @@
         self._turn += 1
         tell_load(self.state, self._turn)
 
+    def tell_flows(self) -> None:
+        """Tell peers of flows that they should remember; call it once a second."""
+        self._reporter.report()
+
     def has_notices(self) -> bool:
         """Tell whether notices wait to be sent."""
         return bool(self.state.outbox)
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -58,6 +58,8 @@
         self.sought = DeadlineStore(MAX_WAITING_KEYS)
         self.lost = DeadlineStore(MAX_WAITING_KEYS)
         self.outbox: list[Notice] = []
+        # Flows taken since the last report to the peers.
+        self.untold: list[bytes] = []
         self.leaving = False
         self.incarnation = 0
         self.wanted_revision = 0
@@ -140,6 +142,8 @@
         if not self.flows.has_room():
             return refuse(arrival)
         self.flows.touch(key, arrival.bits, arrival.now, self.idle)
+        if len(self.untold) < MAX_WAITING_KEYS:
+            self.untold.append(key)
         self.pointers.remove(key)
         self.sought.remove(key)
         disagreed = header.visited and not header.flags & PASSED
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -352,6 +352,24 @@
     check_all(world, owners)
 
 
+def test_hazard_8_several_agents_crash_at_once():
+    """A rack loses power for a moment: two agents restart, their targets hold on.
+
+    One of them is first by now for flows that the other owns. It adopts strays, and
+    would adopt these. What the others were told each second leads each flow home.
+    """
+    world = World(targets=3)
+    owners = open_all(world)
+    world.add("t4")
+    world.add("t5")
+    world.spread()
+    world.tell_flows()
+    for name in ("t1", "t5"):
+        world.restart_agent(name, hand_over=False)
+    world.spread()
+    check_all(world, owners)
+
+
 def test_hazard_9_a_service_moves_to_another_address_and_port():
     """The record changes address and callers while flows live.
 
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -80,6 +80,28 @@
         assert world.go_on(port).target == "t3"
 
 
+def test_peers_are_told_of_every_flow_again_within_the_idle_timeout():
+    """A peer forgets what it was told after the idle timeout."""
+    world = World(targets=3, max_flows=5000, idle_timeout_ms=60_000)
+    ports = range(10_000, 11_000)
+    owners = {port: world.open(port) for port in ports}
+    for _ in range(150):
+        world.now += 1.0
+        for port in list(owners)[::10]:
+            world.go_on(port)
+        world.tell_flows()
+        for agent in world.agents.values():
+            for _ in agent.state.pointers.sweep(world.now):
+                pass
+    for target in world.targets.values():
+        mine = {make_key(port) for port in ports if owners[port] == target.name}
+        place = identify_place(target)
+        told = set()
+        for agent in world.agents.values():
+            told |= set(agent.state.pointers.list_keys(place))
+        assert mine <= told
+
+
 def test_packets_that_meet_a_recalling_agent_are_lost_and_not_misled():
     world = World(targets=2)
     owners = {port: world.open(port) for port in PORTS}
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -150,6 +150,11 @@
             agent.tell_load()
             self._carry_notices(agent)
 
+    def tell_flows(self):
+        for agent in self.agents.values():
+            agent.tell_flows()
+            self._carry_notices(agent)
+
     def send(self, packet, balancer=0):
         """Send a packet through a balancer and follow it to its end."""
         try:
