--- a/tests/coordination/flows/test_table.py
+++ b/tests/coordination/flows/test_table.py
@@ -4,7 +4,7 @@
 from hypothesis import given, strategies as st
 
 from ibisshunt.const import WARM_UP_SECONDS
-from ibisshunt.coordination.flows.ranking import BUCKETS
+from ibisshunt.coordination.flows.ranking import BUCKETS, identify_place
 from ibisshunt.coordination.flows.table import CHAIN_LIMIT, NOBODY, ServiceTable
 from ibisshunt.model.target import TargetState
 from tests.flow_fakes import make_slice, make_target
@@ -105,6 +105,16 @@
         assert names[0] == names[1]
 
 
+def test_a_place_is_found_under_its_newest_incarnation():
+    """A pointer names the agent from before a restart; it must lead to the new one."""
+    old = make_target(1, name="a")
+    new = make_target(9, name="a", packets=old.announcement.packets)
+    other_host = make_target(12, name="a")
+    table = make_table([old, make_target(2, name="b"), new, other_host])
+    assert table.find_by_place(identify_place(old)) == new
+    assert table.find_by_place(12345) is None
+
+
 def test_the_chain_of_a_large_service_is_bounded():
     table = make_table([make_target(number) for number in range(1, 101)])
     assert len(table.find_chain(5)) == CHAIN_LIMIT
