--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -121,11 +121,13 @@
     """Hand a flow back to a taker that had passed it here, once; else refuse it.
 
     Whoever passed it here, by its table or by its load, did not know that this target
-    takes no flow. Told that it has to take the flow, it does so.
+    takes no flow. The flow goes round the takers once more, and each that is told so
+    takes it if it can.
     """
     flags = arrival.header.flags
     choices = state.list_choices(arrival.key)
     others = [one for one in choices if one.incarnation != state.incarnation]
     if flags & INSISTED or not others:
         return refuse(arrival)
-    return state.forward_to(arrival, others[0], flags | PASSED | INSISTED)
+    afresh = arrival.with_header(visited=())
+    return state.forward_to(afresh, others[0], flags | PASSED | INSISTED)
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -341,9 +341,11 @@
 
     The new targets come first for some of its flows and have themselves just started.
     They must not adopt what nobody claims: their peers tell them that they are new.
+    What the older agents told them of their flows was lost on the way.
     """
     world = World(targets=3)
     owners = open_all(world)
+    world.lost_kinds = {DatagramKind.POINTER}
     world.add("t4")
     world.add("t5")
     world.spread()
@@ -446,6 +448,24 @@
     check_all(world, new)
 
 
+def test_hazard_9_every_taker_is_asked_before_a_flow_is_refused():
+    """A SYN has been at all agents, each of which forwarded it by its own table.
+
+    It ends at one that leaves. Of the others one is not in its own table yet, and only
+    the third may take it: the caller must not be refused before that one was told to.
+    """
+    world = World(targets=3)
+    world.agent_of("t1").state.incarnation = 99
+    world.agent_of("t2").set_leaving(True)
+    pair = world.find("t2").announcement.packets.as_pair()
+    seen = tuple(world.find(name).incarnation for name in ("t1", "t3"))
+    for port in PORTS:
+        header = Header(DatagramKind.PACKET, 0, 1, 1, 2, visited=seen)
+        outcome = world.follow(pair, header, make_tcp(SYN, port=port))
+        assert outcome.target == "t3"
+        assert len(outcome.visits) <= 3 * len(world.targets)
+
+
 def test_hazard_10_half_of_a_configuration_is_new():
     """Service A's record has moved to B's former address; B's has not been applied.
 
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -64,17 +64,19 @@
 def test_a_restarted_agent_does_not_recall_flows_that_it_only_passed_on():
     """The first choice passed a flow to the second, and that one to the third.
 
-    The first still points to the second. When the second's agent restarts and asks
-    its peers, it must not be told that the flow is its own.
+    The first still points to the second, because what the third told it was lost.
+    When the second's agent restarts and asks its peers, it must not be told that the
+    flow is its own.
     """
     world = World(targets=3)
+    world.lose_notices = True
     for name in ("t1", "t2", "t3"):
         world.agent_of(name).state.flows.limit = 100 if name == "t3" else 0
     owners = {port: world.open(port) for port in PORTS}
     assert set(owners.values()) == {"t3"}
-    for name in ("t1", "t2"):
-        world.restart_agent(name)
-        world.spread()
+    world.lose_notices = False
+    world.restart_agent("t2")
+    world.spread(agents=("t2",), balancers=())
     for port in PORTS:
         assert list_holders(world, port) == ["t3"]
         assert world.go_on(port).target == "t3"
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -56,6 +56,7 @@
         self.agents = {}
         self.dead = set()
         self.lose_notices = False
+        self.lost_kinds = set()
         self.next_incarnation = 1
         for number in range(1, targets + 1):
             self.add(f"t{number}", max_flows)
@@ -195,6 +196,8 @@
             if receiver is None or self.lose_notices or notice.pair in self.dead:
                 continue
             header, payload = read_datagram(notice.data).unwrap()
+            if header.kind in self.lost_kinds:
+                continue
             reason = receiver.receive(header, payload, self.now)
             assert reason in ("", "not_ready", "recall_late")
             if header.kind == DatagramKind.RECALL:
