--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -4,7 +4,7 @@
 
 from ...model.record import SharingPolicy
 from ...model.target import Target
-from ...protocol.datagram import PASSED, SEEKING, SOUGHT
+from ...protocol.datagram import INSISTED, PASSED, SEEKING, SOUGHT
 from .actions import Action
 from .loads import find_load
 from .ranking import find_bucket
@@ -114,4 +114,20 @@
         if state.table.is_taker(target) and not state.has_seen(header, target):
             state.point(arrival.key, target, arrival.now)
             return state.forward_to(arrival, target, header.flags | PASSED)
-    return refuse(arrival)
+    return _insist_or_refuse(state, arrival)
+
+
+def _insist_or_refuse(state: OwnerState, arrival: Arrival) -> Action:
+    """Hand a flow back to a taker that had passed it here, once; else refuse it.
+
+    Whoever passed it here, by its table or by its load, did not know that this target
+    takes no flow. The flow goes round the takers once more, and each that is told so
+    takes it if it can.
+    """
+    flags = arrival.header.flags
+    choices = state.list_choices(arrival.key)
+    others = [one for one in choices if one.incarnation != state.incarnation]
+    if flags & INSISTED or not others:
+        return refuse(arrival)
+    afresh = arrival.with_header(visited=())
+    return state.forward_to(afresh, others[0], flags | PASSED | INSISTED)
