Run the commands of the operators' pages on separate processes

Cause: no test showed that control, balancer and agent run as processes of their own. Change: five operators' pages (install, first business, targets, partition, upgrade); a test runs each command of theirs in one shell, on free ports, with the samples. Conclusion: a page that drifts from the programs fails.

--- /dev/null
+++ b/tests/docs/test_separate_processes.py
@@ -0,0 +1,31 @@
+"""The system runs as separate processes, by the very commands of the pages."""
+
+import pytest
+
+from .pages import Shell, read_commands
+
+# In the order in which a new operator reads them: each goes on where the last ended.
+WALK = (
+    "install.md",
+    "first-business.md",
+    "targets.md",
+    "partition.md",
+    "upgrade.md",
+)
+
+
+@pytest.fixture
+def shell(tmp_path):
+    shell = Shell(tmp_path)
+    yield shell
+    shell.stop()
+
+
+def test_the_commands_of_the_pages_do_what_the_pages_say(shell):
+    # A new operator copies each command of the pages. Three control hosts, a balancer
+    # and two agents start as real processes; records, a drain, a frozen control host,
+    # a second schema version and graceful stops follow. A page that has drifted from
+    # the programs fails at the command that no longer does what it says.
+    for page in WALK:
+        for command in read_commands(page):
+            shell.check(command)
