--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -28,6 +28,7 @@
         address: Address,
         peers: Mapping[str, Address],
         make_channel: Callable[[Address], Channel],
+        find_cluster: Callable[[], str],
         give: Callable[[Event], bool],
     ) -> None:
         self._name = name
@@ -35,17 +36,20 @@
         self._address = address
         self._peers = peers
         self._make_channel = make_channel
+        self._find_cluster = find_cluster
         self._give = give
         self.names = tuple(sorted({name, *peers}))
+        self._told = ""
 
     def run(self, is_done: Callable[[], bool]) -> None:
-        """Introduce this host to all peers until it belongs to a cluster."""
+        """Introduce this host to all peers until it is a member."""
         channels = {
             name: self._make_channel(address) for name, address in self._peers.items()
         }
         try:
             while not is_done():
                 replies = self._greet(channels)
+                self._tell(replies)
                 if event := self._decide(replies):
                     log_event("cluster_founded", cluster=event.cluster, host=self._host)
                     self._give(event)
@@ -55,7 +59,9 @@
                 channel.close()
 
     def _greet(self, channels: Mapping[str, Channel]) -> dict[str, HelloReply]:
-        request = HelloRequest(self._host, str(self._address), "", self.names)
+        request = HelloRequest(
+            self._host, str(self._address), self._find_cluster(), self.names
+        )
         replies: dict[str, HelloReply] = {}
         for name, channel in channels.items():
             try:
@@ -64,6 +70,25 @@
                 continue
         return replies
 
+    def _tell(self, replies: Mapping[str, HelloReply]) -> None:
+        """Log once what this host waits for."""
+        silent = ",".join(sorted(set(self._peers) - set(replies)))
+        members = sorted(name for name, reply in replies.items() if reply.cluster)
+        others = sorted(
+            name for name, reply in replies.items() if reply.names != self.names
+        )
+        told = f"{silent}|{members}|{others}"
+        if told == self._told:
+            return
+        self._told = told
+        log_event(
+            "waiting_for_cluster",
+            host=self._host,
+            silent=silent or "-",
+            members=",".join(members) or "-",
+            other_peer_settings=",".join(others) or "-",
+        )
+
     def _decide(self, replies: Mapping[str, HelloReply]) -> Found | None:
         """Found a cluster only when every host is there and none has ever had one.
 
@@ -71,7 +96,9 @@
         would start a second history beside the first. The lowest name founds, so that
         only one does.
         """
-        if self._name != self.names[0] or set(replies) != set(self._peers):
+        if self._find_cluster() or self._name != self.names[0]:
+            return None
+        if set(replies) != set(self._peers):
             return None
         if any(
             reply.cluster or reply.names != self.names for reply in replies.values()
