--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Show how to embed the coordination library."""
