--- a/tests/docs/test_separate_processes.py
+++ b/tests/docs/test_separate_processes.py
@@ -10,6 +10,7 @@
     "first-business.md",
     "targets.md",
     "partition.md",
+    "security.md",
     "upgrade.md",
 )
 
