--- a/measurements/failures.py
+++ b/measurements/failures.py
@@ -36,7 +36,7 @@
     StatusRequest,
 )
 from ibisshunt.protocol.rpc import Channel
-from measurements.processes import Program, reserve_addresses
+from measurements.spawning import Program, reserve_addresses
 
 STEP_SECONDS = 40.0
 FLOWS = 70
