--- a/measurements/failures.py
+++ b/measurements/failures.py
@@ -1,9 +1,10 @@
 """Count broken flows while separate processes are stopped, killed and replaced.
 
 Run: ``python -m measurements.failures [STEP ...]``. Three control hosts, three
-balancers and seven agents run as processes of their own; the fabric, the callers and the endpoints
-are stand-ins in this process. Each step changes the system while flows are open and
-asks once on each of them afterwards. Prints JSON; bounded by STEP_SECONDS a step.
+balancers and seven agents run as processes of their own; the fabric, the callers and
+the endpoints are stand-ins in this process. Each step changes the system while flows
+are open and asks once on each of them afterwards. Prints JSON; bounded by
+STEP_SECONDS a step.
 """
 
 from gevent import monkey
