--- a/ibisshunt/coordination/flows/handover.py
+++ b/ibisshunt/coordination/flows/handover.py
@@ -90,7 +90,8 @@
 def start_recall(state: OwnerState, now: float) -> None:
     """Ask all peers for the flows that a former agent of this target owned.
 
-    Suspects are asked as well, but not waited for: they may be dead.
+    Suspects are asked as well, but waited for only when there is nobody else: they
+    may be dead.
     """
     peers = {
         one.incarnation
@@ -98,7 +99,7 @@
         if one.incarnation != state.incarnation
     }
     suspects = {one.incarnation for one in state.table.targets if one.is_suspect}
-    state.recall.start(peers - suspects, now)
+    state.recall.start(peers - suspects or peers, now)
     _ask(state, peers)
 
 
@@ -175,7 +176,7 @@
 
 def _receive_recalled(state: OwnerState, found: PointerList, now: float) -> str:
     """Own the flows again that a former agent of this target owned."""
-    if not state.recall.is_open(now):
+    if not state.recall.takes_answers(now):
         return "recall_late"
     state.recall.count(found.owner, len(found.keys))
     for key in found.keys:
--- a/ibisshunt/coordination/flows/recall.py
+++ b/ibisshunt/coordination/flows/recall.py
@@ -62,6 +62,7 @@
     def __init__(self) -> None:
         self.asked = False
         self._deadline = 0.0
+        self._last_deadline = 0.0
         self._waiting: set[int] = set()
         self._received: Counter[int] = Counter()
         self._verdicts: set[int] = set()
@@ -70,12 +71,17 @@
         """Wait for these peers; nobody to wait for ends the recall at once."""
         self.asked = True
         self._waiting = set(peers)
-        self._deadline = now + RECALL_SECONDS if peers else 0.0
+        self._last_deadline = now + RECALL_SECONDS
+        self._deadline = self._last_deadline if peers else 0.0
 
     def is_open(self, now: float) -> bool:
         """Tell whether peers may still name flows."""
         return now < self._deadline
 
+    def takes_answers(self, now: float) -> bool:
+        """Tell whether an answer still counts; that of a suspect may come late."""
+        return now < self._last_deadline
+
     def list_waiting(self) -> set[int]:
         """Return the peers that have not answered whole."""
         return set(self._waiting)
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -7,6 +7,7 @@
     Recall,
     Verdict,
 )
+from ibisshunt.model.target import TargetState
 from ibisshunt.protocol.packet import scan_packet
 from tests.flow_fakes import ACK, SYN, make_target, make_tcp
 from tests.flow_world import World
@@ -130,6 +131,19 @@
     assert not recall.is_fresh()
 
 
+def test_flows_are_recalled_from_suspects_when_there_is_nobody_else():
+    """Control cannot be reached by the other agents: their leases have run out."""
+    world = World(targets=3)
+    owners = {port: world.open(port) for port in PORTS}
+    for name in ("t1", "t3"):
+        world.change(name, state=TargetState.SUSPECT)
+    world.spread()
+    world.restart_agent("t2", same_incarnation=True)
+    world.spread(agents=("t2",), balancers=())
+    for port, name in owners.items():
+        assert list_holders(world, port) == [name]
+
+
 def test_a_recall_without_answers_ends_at_its_deadline():
     recall = Recall()
     recall.start({1}, 10.0)
