--- a/measurements/capacity.py
+++ b/measurements/capacity.py
@@ -8,13 +8,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from .capacity_control import list_control_rows, list_operator_rows
 from .capacity_days import list_data_rows, list_day_rows
-from .capacity_roles import (
-    list_agent_rows,
-    list_balancer_rows,
-    list_control_rows,
-    list_operator_rows,
-)
+from .capacity_nodes import list_agent_rows, list_balancer_rows
 from .capacity_rows import Row, Slope, list_slopes
 
 PAGE = Path(__file__).resolve().parents[1] / "docs" / "CAPACITY.md"
--- a/measurements/capacity_days.py
+++ b/measurements/capacity_days.py
@@ -2,8 +2,8 @@
 
 from ibisshunt.const import LEASE_SECONDS
 
-from .capacity_roles import AGENT_RESTARTS
 from .capacity_rows import (
+    AGENT_RESTARTS,
     AGENTS,
     BALANCERS,
     BYTES_LIMIT,
