--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 import gevent
+import grpc
 
 from ...const import WARM_UP_SECONDS
 from ...coordination.requests.admission import Admission, Refused
@@ -41,9 +42,14 @@
 class Dispatcher:
     """Own the admission of one target."""
 
-    def __init__(self, client: TargetClient, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        client: TargetClient,
+        clock: Callable[[], float],
+        credentials: grpc.ChannelCredentials | None = None,
+    ) -> None:
         self.sharing = Sharing()
-        self.peers = Peers(self.sharing, clock, self.tell_load)
+        self.peers = Peers(self.sharing, clock, self.tell_load, credentials)
         self.admission = Admission(1, RequestPolicy().queue_limit)
         self.budget = RetryBudget(RequestPolicy().retry_share)
         self.warm_deadline = 0.0
@@ -59,6 +65,7 @@
         """Take over what the record says; ``warm_deadline`` is wall-clock time."""
         self.admission.slots = slots
         self.admission.queue_limit = policy.queue_limit
+        self.budget.share = policy.retry_share
         self.warm_deadline = warm_deadline
         self._seen.keep_only((self.peers.incarnation, *self.peers.list_known()))
 
@@ -271,13 +278,15 @@
             self._prober.start_pull(sender)
         if not idle or sender not in self.peers.list_known():
             return 0
-        waiting = self.admission.take_next()
+        waiting = self.admission.peek_next()
         if waiting is None:
             return 0
+        # What can't be handed over keeps its place: offered anew it might be refused,
+        # with nobody to tell its caller before the deadline.
         job = self._jobs[waiting.attempt]
         if job.hops >= MAX_HOPS or is_feed_wanted(job.request):
-            self._offer(job)
             return 0
+        self.admission.withdraw(waiting.attempt)
         job.peer = sender
         job.decided.set()
         return 1
--- a/ibisshunt/coordination/flows/state.py
+++ b/ibisshunt/coordination/flows/state.py
@@ -58,6 +58,8 @@
         self.sought = DeadlineStore(MAX_WAITING_KEYS)
         self.lost = DeadlineStore(MAX_WAITING_KEYS)
         self.outbox: list[Notice] = []
+        # Flows taken since the last report to the peers.
+        self.untold: list[bytes] = []
         self.leaving = False
         self.incarnation = 0
         self.wanted_revision = 0
@@ -67,6 +69,7 @@
         self.idle = 0.0
         self.admit = make_caller_check(())
         self.place = 0
+        self.start = int(now * 1e6) & 0xFFFF_FFFF_FFFF_FFFF
         self._started = now
         self._changed = [now] * BUCKETS
         self._firsts: list[int] = []
@@ -139,6 +142,8 @@
         if not self.flows.has_room():
             return refuse(arrival)
         self.flows.touch(key, arrival.bits, arrival.now, self.idle)
+        if len(self.untold) < MAX_WAITING_KEYS:
+            self.untold.append(key)
         self.pointers.remove(key)
         self.sought.remove(key)
         disagreed = header.visited and not header.flags & PASSED
--- a/measurements/capacity_control.py
+++ b/measurements/capacity_control.py
@@ -39,7 +39,7 @@
     follower = balancer.base + watched * balancer.slope
     per_stream = find_line("control_streams_memory")
     memory = per_stream.at(watched) + find_line("store").at(AGENTS)
-    out = load("processes_balancers")["quiet"][-1]["node_received_bytes_per_second"]
+    out = load("node_costs_balancers")["quiet"][-1]["node_received_bytes_per_second"]
     streams = load("control")["streams"]
     fan_out = streams["control_cpu_ms_per_change_and_stream"] / 1000
     nine = NODES / MOST_HOSTS
--- a/tests/components/consensus/test_failures.py
+++ b/tests/components/consensus/test_failures.py
@@ -51,6 +51,19 @@
     hosts.settle()
 
 
+def test_a_proposal_is_answered_with_the_confirmation_that_commits_it():
+    # Found by measurement: the answer waited for the next tick, 50 ms later.
+    hosts = make_hosts(3)
+    hosts.run(2.0)
+    leader = hosts.find_leader()
+    ticket = hosts.propose(leader)
+    for _ in range(2):
+        hosts.deliver()
+        for host in hosts.hosts:
+            host.step()
+    assert ticket in hosts.acked
+
+
 def test_hazard_11_a_partitioned_leader_answers_no_read():
     # A balancer asks a control host that sits behind a partition and still believes
     # that it leads, while the others have accepted newer changes. An answer would put
@@ -387,3 +400,19 @@
     hosts.run(6.0)
     accept(hosts, 2)
     hosts.settle()
+
+
+def test_three_hosts_grow_to_five_one_at_a_time():
+    # Two more control hosts are started. Each is a learner first and a voter once it
+    # has the log; no two changes are under way at once.
+    hosts = Hosts(5)
+    hosts.found(3)
+    hosts.run(4.0)
+    accept(hosts, 10)
+    hosts.settle()
+    members = hosts.find_leader().driver.state.log.membership.members
+    assert [member.voter for member in members] == [True] * 5
+    for host in find_others(hosts, hosts.find_leader())[:2]:
+        host.crash()
+    accept(hosts, 2)
+    hosts.settle()
