--- a/measurements/capacity_nodes.py
+++ b/measurements/capacity_nodes.py
@@ -26,7 +26,7 @@
 
 def count_bytes(kind: str) -> float:
     """Return the measured bytes a second of an idle node, both ways."""
-    quiet = load(f"node_costs_{kind}")["quiet"][-1]
+    quiet = load(f"processes_{kind}")["quiet"][-1]
     sent = quiet["node_sent_bytes_per_second"]
     return sent + quiet["node_received_bytes_per_second"]
 
@@ -34,7 +34,7 @@
 def list_balancer_rows() -> list[Row]:
     """Return what one balancer holds and does."""
     delta = find_line("delta").at(TARGETS_EACH)
-    idle = load("node_costs_services")["streams"][-1]["idle_cpu_share"]
+    idle = load("processes_services")["streams"][-1]["idle_cpu_share"]
     rebuild = find_line("rebuild").at(TARGETS_EACH) / 1000
     firsts = find_line("firsts").at(TARGETS_EACH) / 1000
     changing = (rebuild + firsts) * CHANGES_A_SECOND
@@ -117,7 +117,7 @@
 
 def list_agent_rows() -> list[Row]:
     """Return what one agent holds and does."""
-    base = load("node_costs_agents")["quiet"][0]["node_resident_bytes_most"]
+    base = load("processes_agents")["quiet"][0]["node_resident_bytes_most"]
     flows = find_line("agent_flows").slope * FLOWS_AN_AGENT
     peers = min(PEERS_PER_ROUND, TARGETS_EACH - 1)
     return [
--- a/measurements/capacity_rows.py
+++ b/measurements/capacity_rows.py
@@ -124,13 +124,13 @@
     "balancer_memory": (
         "resident memory of a balancer (packets)",
         "service of 6 targets",
-        ("node_costs_services", "packets"),
+        ("processes_services", "packets"),
         ("services", "resident_bytes", "B"),
     ),
     "balancer_streams_memory": (
         "resident memory of a balancer (packets, listeners)",
         "service of 6 targets",
-        ("node_costs_services", "streams"),
+        ("processes_services", "streams"),
         ("services", "resident_bytes", "B"),
     ),
     "delta": (
@@ -154,13 +154,13 @@
     "agent_quiet": (
         "processor share of an idle agent",
         "agent of its service",
-        ("node_costs_agents", "quiet"),
+        ("processes_agents", "quiet"),
         ("nodes", "node_cpu_share", "core"),
     ),
     "agent_warming": (
         "processor share of an agent while targets warm up",
         "agent of its service",
-        ("node_costs_agents", "warming"),
+        ("processes_agents", "warming"),
         ("nodes", "node_cpu_share", "core"),
     ),
     "agent_flows": (
@@ -172,19 +172,19 @@
     "control_balancers": (
         "processor share of a control host",
         "balancer (watch, report)",
-        ("node_costs_balancers", "quiet"),
+        ("processes_balancers", "quiet"),
         ("nodes", "control_cpu_share", "core"),
     ),
     "control_agents": (
         "processor share of a control host",
         "agent (watch, report, lease)",
-        ("node_costs_agents", "quiet"),
+        ("processes_agents", "quiet"),
         ("nodes", "control_cpu_share", "core"),
     ),
     "control_streams_memory": (
         "resident memory of a control host",
         "node that watches it",
-        ("node_costs_balancers", "quiet"),
+        ("processes_balancers", "quiet"),
         ("nodes", "control_resident_bytes", "B"),
     ),
     "store": (
