--- a/ibisshunt/components/consensus/report.py
+++ b/ibisshunt/components/consensus/report.py
@@ -36,18 +36,18 @@
     """Return the metrics, labelled with the name of the control host."""
     driver, state = log.driver, log.driver.state
     gauges = {
-        "consensus_term": state.term,
-        "consensus_is_leader": int(log.is_leading()),
-        "consensus_commit_index": state.commit,
-        "consensus_applied_index": driver.applied,
-        "consensus_members": len(_members(log)),
-        "consensus_waiting_requests": log.count_waiting(),
+        "ibisshunt_consensus_term": state.term,
+        "ibisshunt_consensus_is_leader": int(log.is_leading()),
+        "ibisshunt_consensus_commit_index": state.commit,
+        "ibisshunt_consensus_applied_index": driver.applied,
+        "ibisshunt_consensus_members": len(_members(log)),
+        "ibisshunt_consensus_waiting_requests": log.count_waiting(),
     }
     counters = {
-        "consensus_syncs_total": driver.syncs,
-        "consensus_snapshots_total": driver.snapshots,
-        "consensus_sent_bytes_total": log.links.count_sent_bytes(),
-        "consensus_lost_envelopes_total": log.links.count_lost(),
+        "ibisshunt_consensus_syncs_total": driver.syncs,
+        "ibisshunt_consensus_snapshots_total": driver.snapshots,
+        "ibisshunt_consensus_sent_bytes_total": log.links.count_sent_bytes(),
+        "ibisshunt_consensus_lost_envelopes_total": log.links.count_lost(),
     }
     labels = {"host": log.settings.name}
     found = [Sample(n, SampleKind.GAUGE, labels, v) for n, v in gauges.items()]
