--- a/ibisshunt/cli/process.py
+++ b/ibisshunt/cli/process.py
@@ -8,7 +8,7 @@
 
 import click
 import gevent
-from absl import logging
+from absl import flags, logging
 
 from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
 from ..core import Kernel
@@ -19,6 +19,7 @@
 
 def set_up_logging(verbose: bool) -> None:
     """Send one line an event to standard error."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
     logging.set_stderrthreshold(logging.DEBUG)
--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -196,10 +196,14 @@
         for _ in table.prepare():
             gevent.sleep(0)
         self._owner.update(table, incarnation, time.monotonic())
+        changed = self._revision != table.revision
         self._revision = table.revision
         self._send_notices()
         self._hand_over(everything=False)
-        log_event("flow_table", service=table.number, revision=table.revision)
+        # While a target warms up its share grows and the table with it, once a second:
+        # only a new revision is an event.
+        if changed:
+            log_event("flow_table", service=table.number, revision=table.revision)
 
     def _hand_over(self, everything: bool) -> None:
         for _ in self._owner.hand_over(everything):
