--- a/tests/docs/pages.py
+++ b/tests/docs/pages.py
@@ -5,6 +5,7 @@
 
 import gevent
 import trustme
+import urllib3
 from gevent import socket, subprocess
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -43,6 +44,12 @@
     return commands
 
 
+def read_rows(page):
+    """Return the cells of each table row whose first cell is a name."""
+    rows = re.findall(r"^\| `([^`]+)` \| (.*) \|$", (PAGES / page).read_text(), re.M)
+    return {name: rest.split(" | ") for name, rest in rows}
+
+
 def matches(expected, output):
     """Tell whether output is as on the page, where ``...`` stands for anything."""
     pattern = re.escape(expected.strip()).replace(re.escape("..."), ".*")
@@ -156,6 +163,12 @@
             f"found:\n{output}\n{self.show_logs()}"
         )
 
+    def list_metrics(self, port):
+        """Return the names on the metrics page of a process."""
+        url = f"http://127.0.0.1:{self.ports.find(port)}/metrics"
+        page = urllib3.request("GET", url, timeout=5).data.decode()
+        return set(re.findall(r"^# TYPE (\S+)", page, re.M))
+
     def show_logs(self):
         return "\n".join(
             f"--- {path.name}\n{path.read_text()[-1500:]}"
--- a/tests/docs/test_reference_pages.py
+++ b/tests/docs/test_reference_pages.py
@@ -10,7 +10,7 @@
 
 from ibisshunt import const, settings
 
-from .pages import PAGES, ROOT
+from .pages import ROOT, read_rows
 
 KINDS = {
     "control": settings.ControlSettings,
@@ -23,12 +23,6 @@
 LOGGERS = ("log_event", "warn_event")
 
 
-def read_rows(page):
-    """Return the cells of each table row whose first cell is a name."""
-    rows = re.findall(r"^\| `([^`]+)` \| (.*) \|$", (PAGES / page).read_text(), re.M)
-    return {name: rest.split(" | ") for name, rest in rows}
-
-
 @functools.cache
 def parse_tree():
     """Return every syntax node of the package; they are told apart by their ids."""
--- a/tests/docs/test_separate_processes.py
+++ b/tests/docs/test_separate_processes.py
@@ -1,8 +1,10 @@
 """The system runs as separate processes, by the very commands of the pages."""
 
+import fnmatch
+
 import pytest
 
-from .pages import Shell, read_commands
+from .pages import Shell, read_commands, read_rows
 
 # In the order in which a new operator reads them: each goes on where the last ended.
 WALK = (
@@ -14,6 +16,10 @@
 )
 
 
+# A control host, the balancer and the agent that still run then.
+ADMIN_PORTS = ("7401", "7411", "7502")
+
+
 @pytest.fixture
 def shell(tmp_path):
     shell = Shell(tmp_path)
@@ -29,6 +35,22 @@
     for page in WALK:
         for command in read_commands(page):
             shell.check(command)
+        if page == "partition.md":
+            check_metrics(shell)
+
+
+def check_metrics(shell):
+    """Check that the page names every metric that the running processes show."""
+    named = read_rows("metrics-and-events.md")
+    for port in ADMIN_PORTS:
+        shown = shell.list_metrics(port)
+        assert shown
+        unnamed = {
+            name
+            for name in shown
+            if not any(fnmatch.fnmatchcase(name, pattern) for pattern in named)
+        }
+        assert unnamed == set()
 
 
 def test_a_host_with_certificates_and_tokens_refuses_strangers(shell):
