Announce a target only when its agent can take its flows

Cause: peers sent flows to a target up to a quarter of a second before its agent had looked at the configuration; their first packets were dropped as not_ready, and agents whose service was not declared asked again and again. Change: the agent waits for its service, then announces; configuration and announcement wake the packet task at once.

--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 import gevent
+from gevent.event import Event
 
 from ...coordination.flows.actions import Action, ActionKind
 from ...coordination.flows.owner import FlowOwner
@@ -42,6 +43,7 @@
         self._configuration: Any = kernel.find("configuration")
         self._announcement: Any = kernel.find("announcement")
         self._metrics: Any = kernel.find("metrics")
+        self._wake = Event()
         self._now = time.monotonic()
         self._owner = FlowOwner(settings.max_flows, self._now)
         self._refusals = RefusalCounter("agent")
@@ -169,10 +171,20 @@
                 sweep_deadline = now + SWEEP_INTERVAL_SECONDS
                 for _ in self._owner.sweep(now):
                     gevent.sleep(0)
-            gevent.sleep(HOUSEKEEPING_SECONDS)
+            self._wake.wait(HOUSEKEEPING_SECONDS)
+            self._wake.clear()
+
+    def wake(self) -> None:
+        """Look at the configuration and the announcement at once.
+
+        Peers send flows to a target as soon as it is in their tables: an agent that
+        looked later would drop the first packets of each.
+        """
+        self._wake.set()
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Take the service's own slice out of a configuration."""
+        self.wake()
         target = self._settings.target
         for slice_ in configuration.slices.values():
             service = slice_.service
--- a/ibisshunt/components/node/announcer.py
+++ b/ibisshunt/components/node/announcer.py
@@ -4,7 +4,7 @@
 import time
 import uuid
 from itertools import cycle
-from typing import Any
+from typing import Any, Final
 
 import grpc
 from gevent.event import Event
@@ -20,6 +20,8 @@
 from ...protocol.rpc import Channel
 from ...settings import AgentSettings
 
+WAIT_FOR_SERVICE_SECONDS: Final = 0.1
+
 
 class Announcer:
     """Own the announcement of one target."""
@@ -50,6 +52,9 @@
         """Renew the lease until asked to stop."""
         delays = make_delays(random.random)
         while not self._stopping.is_set():
+            if not self._knows_service():
+                self._stopping.wait(WAIT_FOR_SERVICE_SECONDS)
+                continue
             if self.announce():
                 delays = make_delays(random.random)
                 self._stopping.wait(HEARTBEAT_SECONDS)
@@ -79,19 +84,34 @@
         self._note(reply, sent_at)
         return True
 
+    def _knows_service(self) -> bool:
+        """Tell whether the service is declared and this agent has heard of it.
+
+        A target that is announced earlier gets flows that its agent must drop.
+        """
+        slices = self._kernel.find("configuration").current.slices.values()
+        wanted = (self.announcement.business, self.announcement.service)
+        return any((p.service.business, p.service.name) == wanted for p in slices)
+
     def leave(self) -> None:
         """Tell control that the target gets no new work from now on."""
         self.leaving = True
         self.announce()
 
     def _note(self, reply: AnnounceReply, sent_at: float) -> None:
-        if reply.incarnation != self.incarnation:
+        changed = reply.incarnation != self.incarnation
+        self.incarnation = reply.incarnation
+        if changed:
             name = self.announcement.name
             log_event("announced", target=name, incarnation=reply.incarnation)
-        self.incarnation = reply.incarnation
+            self._wake_packets()
         # Counted from the sending: the lease must not outlast what control granted.
         self.lease_deadline = sent_at + reply.lease_seconds
 
+    def _wake_packets(self) -> None:
+        if self._kernel.has("packets"):
+            self._kernel.find("packets").wake()
+
     def _change_host(self) -> None:
         self._channel.close()
         self._channel = Channel(next(self._hosts), self._credentials)
