Rank targets of streams by the service's own table

Cause: the stream relay hashed over ready targets by itself: weights, cold targets and failure domains did not count, and it took nobody once all leases had run out. The caller check stood twice. Change: the table and the caller check of flows serve both intakes; a preamble with a wrong caller gets its verdict. Conclusion: one ranking for packets and streams.

--- a/ibisshunt/components/agent/streams.py
+++ b/ibisshunt/components/agent/streams.py
@@ -10,11 +10,11 @@
 from returns.result import Failure
 
 from ...const import STOP_GRACE_SECONDS
+from ...coordination.flows.callers import make_caller_check
 from ...core import Kernel
 from ...helpers.logging import warn_event
 from ...helpers.metrics import Sample, SampleKind
 from ...helpers.relay import relay_streams, reset_connection
-from ...model.callers import make_caller_check, number_of
 from ...model.configuration import Configuration, ServiceSlice
 from ...model.record import FrontKind
 from ...protocol.preamble import Preamble, Verdict, receive_preamble, send_verdict
@@ -31,6 +31,7 @@
         self._kernel = kernel
         self._settings = settings
         self._part: ServiceSlice | None = None
+        self._admits = make_caller_check(())
         self._counts: Counter[str] = Counter()
         self._open = 0
         self._server = StreamServer(settings.streams.as_pair(), self._accept)
@@ -43,6 +44,7 @@
             service = part.service
             if (service.business, service.name) == (target.business, target.service):
                 self._part = part
+                self._admits = make_caller_check(service.callers)
                 return
         self._part = None
 
@@ -75,8 +77,11 @@
         announcement = self._kernel.find("announcement")
         if announcement.incarnation != preamble.incarnation:
             return Verdict.WRONG_INCARNATION
-        caller_ip = number_of(preamble.caller.ip)
-        if not make_caller_check(part.service.callers)(caller_ip):
+        try:
+            caller_ip = socket.inet_aton(preamble.caller.ip)
+        except OSError:
+            return Verdict.MALFORMED
+        if not self._admits(caller_ip):
             return Verdict.CALLER_REFUSED
         if announcement.leaving or self._kernel.is_stopping():
             return Verdict.LEAVING
--- a/ibisshunt/components/balancer/streams.py
+++ b/ibisshunt/components/balancer/streams.py
@@ -1,21 +1,24 @@
 """Relay TCP streams that callers open at a service's address."""
 
+import time
 from collections import Counter
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Any, Final
 
 import gevent
-import xxhash
 from gevent import socket
 from gevent.server import StreamServer
 
 from ...const import STOP_GRACE_SECONDS
+from ...coordination.flows.callers import make_caller_check
+from ...coordination.flows.ranking import find_bucket
+from ...coordination.flows.table import ServiceTable
 from ...core import Kernel
 from ...helpers.logging import log_event, warn_event
 from ...helpers.metrics import Metrics, Sample, SampleKind
 from ...helpers.relay import relay_streams, reset_connection
 from ...model.address import Address
-from ...model.callers import make_caller_check, number_of
 from ...model.configuration import Configuration, ServiceSlice
 from ...model.flow import Protocol
 from ...model.target import Target
@@ -24,6 +27,9 @@
 
 CONNECT_SECONDS: Final = 2.0
 MAX_ATTEMPTS: Final = 3
+MAX_KEPT_CHECKS: Final = 2_048
+
+_find_check = lru_cache(MAX_KEPT_CHECKS)(make_caller_check)
 
 
 class StreamRelay:
@@ -32,6 +38,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._configuration = Configuration()
+        self._tables: dict[int, ServiceTable] = {}
         self._listeners: dict[Address, tuple[int, StreamServer]] = {}
         self._counts: Counter[tuple[str, str]] = Counter()
         self._open = 0
@@ -39,6 +46,8 @@
     def follow(self, configuration: Configuration) -> None:
         """Open and close listeners as services come, go and move."""
         self._configuration = configuration
+        for number in self._tables.keys() - configuration.slices.keys():
+            del self._tables[number]
         wanted = {
             Address(part.service.address, part.service.port): part.number
             for part in configuration.slices.values()
@@ -76,7 +85,7 @@
             self._refuse(connection, "?", "unknown_service")
             return
         name = f"{part.service.business}/{part.service.name}"
-        if not make_caller_check(part.service.callers)(number_of(caller.ip)):
+        if not _find_check(part.service.callers)(socket.inet_aton(caller.ip)):
             self._refuse(connection, name, "caller_not_allowed")
             return
         agent = self._open_to_agent(part, caller)
@@ -98,12 +107,21 @@
     def _open_to_agent(
         self, part: ServiceSlice, caller: Address
     ) -> socket.socket | None:
-        for target in rank_targets(part, caller)[:MAX_ATTEMPTS]:
+        for target in self._rank_targets(part, caller)[:MAX_ATTEMPTS]:
             preamble = Preamble(part.number, target.incarnation, part.revision, caller)
             if agent := self._introduce(target, preamble):
                 return agent
         return None
 
+    def _rank_targets(self, part: ServiceSlice, caller: Address) -> list[Target]:
+        """Return the targets that take new work, best first for this caller."""
+        table = self._tables.get(part.number)
+        now = time.time()
+        if table is None or table.slice != part or table.is_old(now):
+            table = self._tables[part.number] = ServiceTable(part, now)
+        chain = table.find_chain(find_bucket(str(caller).encode()))
+        return [target for target in chain if table.is_taker(target)]
+
     def _introduce(self, target: Target, preamble: Preamble) -> socket.socket | None:
         """Offer the stream to one agent; return the connection when it takes it.
 
@@ -155,16 +173,6 @@
         }
 
 
-def rank_targets(part: ServiceSlice, caller: Address) -> list[Target]:
-    """Return the targets that take new work, best first for this caller."""
-    ready = [target for target in part.targets if target.takes_new_work]
-
-    def score(target: Target) -> int:
-        return xxhash.xxh3_64_intdigest(f"{target.incarnation}/{caller}".encode())
-
-    return sorted(ready, key=score, reverse=True)
-
-
 def setup(kernel: Kernel, settings: BalancerSettings) -> StreamRelay:
     """Start the stream intake; register it as ``streams``."""
     relay = StreamRelay(settings.name)
--- a/tests/components/test_streams.py
+++ b/tests/components/test_streams.py
@@ -10,6 +10,13 @@
 from ibisshunt.core import Kernel
 from ibisshunt.helpers.metrics import Metrics
 from ibisshunt.model.address import Address
+from ibisshunt.model.target import TargetState
+from ibisshunt.protocol.preamble import (
+    Preamble,
+    Verdict,
+    receive_verdict,
+    send_preamble,
+)
 from ibisshunt.settings import AgentSettings, BalancerSettings, TargetSettings
 from tests.builders import make_configuration, make_service, make_slice, make_target
 
@@ -87,9 +94,10 @@
             intake=intake, address=address, announcement=announcement, number=number
         )
 
-    def publish(self, incarnations=None):
+    def publish(self, state=TargetState.READY):
         targets = [
-            make_target(agent.number, streams=agent.address) for agent in self.agents
+            make_target(agent.number, streams=agent.address, state=state)
+            for agent in self.agents
         ]
         part = make_slice(self.service, *targets)
         self.configuration.publish(make_configuration(part))
@@ -120,6 +128,14 @@
     assert {system.ask() for _ in range(20)} == {b"t1:hello"}
 
 
+def test_streams_go_on_when_every_target_is_suspect():
+    # The caller sees answers: all leases ran out at once, which means that control
+    # cannot be reached rather than that all targets died; suspects take streams.
+    system = System()
+    system.publish(state=TargetState.SUSPECT)
+    assert {system.ask() for _ in range(30)} == {b"t0:hello", b"t1:hello"}
+
+
 def test_a_caller_that_is_not_allowed_is_reset():
     system = System(callers=("10.0.0.0/8",))
     with pytest.raises(ConnectionError):
@@ -176,3 +192,13 @@
         stranger.recv(1)
     assert system.agents[0].intake.dump()["verdicts"] == {"malformed": 1}
     assert system.ask() == b"t0:hello"
+
+
+def test_a_preamble_with_a_wrong_caller_is_refused_and_the_agent_lives_on():
+    system = System(targets=1)
+    agent = system.agents[0]
+    preamble = Preamble(system.service.number, 1, 1, Address("not an address", 1))
+    with socket.create_connection(agent.address.as_pair()) as stranger:
+        send_preamble(stranger, preamble)
+        assert receive_verdict(stranger, 5).unwrap() == Verdict.MALFORMED
+    assert system.ask() == b"t0:hello"
