Spawn programs in tests and measurements by one means

Cause: two classes started programs for measurements, and the test of the pages forked a process that holds gRPC threads; such a child hung about one time in ten in measurements/failures.py (not seen in a trial of 60 starts of /bin/true, so the trigger is narrower than any fork). Change: posix_spawn for the page test and for all programs of measurements. Conclusion: measurements/control.py and requests_kills.py still fork.

--- a/measurements/programs.py
+++ b/measurements/programs.py
@@ -1,8 +1,5 @@
 """Start programs of the system as processes of their own, for measurements."""
 
-import json
-import subprocess
-import sys
 from pathlib import Path
 
 import gevent
@@ -11,6 +8,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from .spawning import Program as Spawned
+
 READY_SECONDS = 20.0
 
 
@@ -63,21 +62,18 @@
             return
 
 
-class Program:
-    """Own one process of the system."""
+class Program(Spawned):
+    """Own one process of the system and read what it costs."""
 
     def __init__(self, folder, name, program, settings):
-        self.name, self.admin = name, settings["admin"]
-        path = Path(folder) / f"{name}.json"
-        path.write_text(
-            json.dumps({"name": name, "failure_domain": "east", **settings})
-        )
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", f"ibisshunt.cli.{program}", "--settings", str(path)],
-            stderr=subprocess.DEVNULL,
+        folder = Path(folder)
+        super().__init__(
+            program, {"name": name, "failure_domain": "east", **settings}, folder
         )
-        self.kernel_view = psutil.Process(self.process.pid)
+        self.admin = settings["admin"]
         self.relay = None
+        self.start()
+        self.kernel_view = psutil.Process(self.pid)
 
     def read_cpu(self):
         """Return the processor seconds used so far."""
@@ -96,7 +92,7 @@
 
     def is_ready(self):
         """Tell whether the process answers that it is ready."""
-        assert self.process.poll() is None, f"{self.name} ended"
+        assert self.kernel_view.status() != psutil.STATUS_ZOMBIE, f"{self.name} ended"
         try:
             return urllib3.request("GET", f"http://{self.admin}/ready").status == 200
         except urllib3.exceptions.HTTPError:
@@ -104,9 +100,7 @@
 
     def stop(self):
         """Ask the process to stop and wait for it."""
-        self.process.terminate()
         try:
-            self.process.wait(timeout=15)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
+            super().stop(timeout=15.0)
+        except TimeoutError:
+            self.kill()
--- a/tests/docs/pages.py
+++ b/tests/docs/pages.py
@@ -1,4 +1,7 @@
+import os
 import re
+import shlex
+import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -6,7 +9,8 @@
 import gevent
 import trustme
 import urllib3
-from gevent import socket, subprocess
+from gevent import socket
+from gevent.fileobject import FileObject
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = ROOT / "docs" / "operators"
@@ -100,20 +104,31 @@
         self.write_samples()
         self.write_programs()
         self.write_certificates()
-        self.process = subprocess.Popen(
-            ["bash", "--noprofile", "--norc"],
-            cwd=folder,
-            env={
-                "PATH": f"{folder / 'bin'}:/usr/bin:/bin",
-                "PYTHONPATH": str(ROOT),
-                "PYTHONDONTWRITEBYTECODE": "1",
-            },
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            start_new_session=True,
+        self.start_shell()
+
+    def start_shell(self):
+        # Spawned and not forked: gRPC's handlers in a forked child hang it now and
+        # then before it has become the shell.
+        read_input, self.input = os.pipe()
+        output, write_output = os.pipe()
+        actions = [
+            (os.POSIX_SPAWN_DUP2, read_input, 0),
+            (os.POSIX_SPAWN_DUP2, write_output, 1),
+            (os.POSIX_SPAWN_DUP2, write_output, 2),
+        ]
+        environment = {
+            "PATH": f"{self.folder / 'bin'}:/usr/bin:/bin",
+            "PYTHONPATH": str(ROOT),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        command = ["bash", "--noprofile", "--norc"]
+        self.pid = os.posix_spawnp(
+            "bash", command, environment, file_actions=actions, setsid=True
         )
+        os.close(read_input)
+        os.close(write_output)
+        self.output = FileObject(output, "r")
+        self.execute(f"cd {shlex.quote(str(self.folder))}")
 
     def write_samples(self):
         (self.folder / "samples").mkdir()
@@ -140,11 +155,11 @@
     def execute(self, line):
         """Run one line and return what it printed."""
         self.ports.release()
-        self.process.stdin.write(f"{self.ports.replace(line)}\necho {END}\n")
-        self.process.stdin.flush()
+        text = f"{self.ports.replace(line)}\necho {END}\n"
+        os.write(self.input, text.encode())
         lines = []
         with gevent.Timeout(DEADLINE_SECONDS, AssertionError(f"hangs: {line}")):
-            while (found := self.process.stdout.readline()) != f"{END}\n":
+            while (found := self.output.readline()) != f"{END}\n":
                 assert found, f"the shell ended at: {line}"
                 lines.append(found)
         return "".join(lines)
@@ -178,13 +193,7 @@
     def stop(self):
         """End every process that the pages started, by its own process group."""
         self.ports.release()
-        self.process.stdin.close()
-        try:
-            subprocess.run(
-                ["/bin/kill", "-KILL", "--", f"-{self.process.pid}"],
-                check=False,
-                capture_output=True,
-            )
-        finally:
-            self.process.wait()
-            self.process.stdout.close()
+        os.close(self.input)
+        os.killpg(self.pid, signal.SIGKILL)
+        os.waitpid(self.pid, 0)
+        self.output.close()
