Reset a new flow of a service without targets at the balancer

Cause: a service without any target left its callers to wait; the refusal was counted and told to nobody, since a balancer had nowhere to send a reset. Change: an optional setting 'replies'; a SYN gets its reset, a packet of an established flow does not (this balancer may lack the target).

--- a/ibisshunt/components/balancer/packets.py
+++ b/ibisshunt/components/balancer/packets.py
@@ -2,17 +2,18 @@
 
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, Final
 
 import gevent
 
-from ...coordination.flows.router import Router
+from ...coordination.flows.router import NO_TARGET, Router
 from ...core import Kernel
 from ...helpers.datagrams import DatagramSocket, Pair
 from ...helpers.refusals import RefusalCounter
 from ...model.configuration import Configuration
 from ...protocol.datagram import HEADER_VERSION, DatagramKind, read_datagram
-from ...protocol.packet import PacketError
+from ...protocol.packet import PacketError, make_reset, read_packet
 from ...settings import BalancerSettings
 
 HOUSEKEEPING_SECONDS: Final = 1.0
@@ -28,6 +29,7 @@
         self._refusals = RefusalCounter("balancer")
         self._socket = DatagramSocket(settings.packets)
         self._send = self._socket.send_to
+        self._replies = settings.replies.as_pair() if settings.replies else None
         self._wanted_revision = 0
         self._now = time.time()
         self._forwarded = 0
@@ -50,13 +52,26 @@
             pair, head = self._router.route(data, self._now)
             self._send(head + data, pair)
         except PacketError as error:
-            self._refusals.count(str(error))
+            self._refuse(data, str(error))
         except OSError:
             # A full socket buffer or an unreachable agent: the sender sends again.
             self._refusals.count("send_failed")
         else:
             self._forwarded += 1
 
+    def _refuse(self, data: bytes, reason: str) -> None:
+        self._refusals.count(reason)
+        if reason != NO_TARGET or self._replies is None:
+            return
+        info = read_packet(data).value_or(None)
+        # Only a new flow: a balancer that has not heard of the targets yet would break
+        # an established one by a reset.
+        reset = make_reset(info) if info and info.opens else None
+        if reset is None:
+            return
+        with suppress(OSError):
+            self._send(reset, self._replies)
+
     def _take_notice(self, data: bytes) -> None:
         """Note that an agent has a newer revision than this balancer."""
         found = read_datagram(data).value_or(None)
--- a/ibisshunt/coordination/flows/router.py
+++ b/ibisshunt/coordination/flows/router.py
@@ -19,6 +19,8 @@
 # longer in the record. Each may visit every agent of the service, so that without a
 # bound a stranger could multiply its packets.
 SEARCHES_PER_SECOND: Final = 2000
+# The reason for refusing a packet of a service that has no target at all.
+NO_TARGET: Final = "no_target"
 
 Pair = tuple[str, int]
 
@@ -136,7 +138,7 @@
             return self._route_known(key, bits, route, now)
         index = route.table.find_first(find_bucket(key))
         if index == NOBODY:
-            raise PacketError("no_target")
+            raise PacketError(NO_TARGET)
         return route.heads[index]
 
     def _route_known(
@@ -158,7 +160,7 @@
             raise PacketError("search_limit")
         index = route.table.find_first(find_bucket(key))
         if index == NOBODY:
-            raise PacketError("no_target")
+            raise PacketError(NO_TARGET)
         return route.known_heads[index]
 
     def _may_search(self, now: float) -> bool:
--- a/ibisshunt/settings.py
+++ b/ibisshunt/settings.py
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BalancerSettings:
-    """Settings of ``ibisshunt-balancer``."""
+    """Settings of ``ibisshunt-balancer``.
+
+    ``replies`` is where packets towards callers go when the balancer itself answers.
+    """
 
     name: str
     failure_domain: str
@@ -47,6 +50,7 @@
     packets: Address
     admin: Address
     streams: bool = True
+    replies: Address | None = None
     tls: TlsSettings | None = None
 
 
@@ -148,6 +152,7 @@
         vol.Required("control"): ADDRESSES,
         vol.Required("packets"): check_address,
         vol.Optional("streams"): bool,
+        vol.Optional("replies"): check_address,
     },
 )
 TARGET = _make(
--- a/tests/components/test_packets.py
+++ b/tests/components/test_packets.py
@@ -89,7 +89,8 @@
     def __init__(self):
         self.tunnels = [open_socket(), open_socket()]
         self.replies = open_socket()
-        balancer = BalancerSettings("b1", "moin-a", (ANY,), ANY, ANY)
+        replies = Address(*self.replies.getsockname())
+        balancer = BalancerSettings("b1", "moin-a", (ANY,), ANY, ANY, replies=replies)
         self.balancer = Node(balancer_packets.setup, balancer)
         self.agents = [self.start_agent(number) for number in (1, 2)]
         self.set(revision=1)
@@ -169,6 +170,18 @@
         assert path.receive()[0] == 3 - first
 
 
+def test_a_new_flow_of_a_service_without_targets_is_reset_by_the_balancer(path):
+    # The caller of a new flow gets a reset at once; a packet of an established flow
+    # gets none, since this balancer may not have heard of its target yet.
+    path.balancer.configuration.set(make_configuration(make_slice([], 2)))
+    path.send(make_tcp(ACK, data=b"old"))
+    path.send(make_tcp(SYN, port=40_001))
+    path.replies.settimeout(5)
+    reset = dpkt.ip.IP(path.replies.recv(2000))
+    assert reset.data.flags == dpkt.tcp.TH_RST | ACK
+    assert reset.data.dport == 40_001
+
+
 def test_a_new_flow_that_nobody_takes_is_reset_at_once(path):
     path.set(2, t1=TargetState.LEAVING, t2=TargetState.LEAVING)
     path.send(make_tcp(SYN))
