Warm targets up in four steps instead of ten

Cause: each step of the ramp rebuilds the first choices of all buckets; while targets warmed up an agent used 6.00% of a core, over the limit of 3.5%.

--- a/ibisshunt/coordination/flows/ranking.py
+++ b/ibisshunt/coordination/flows/ranking.py
@@ -12,7 +12,7 @@
 BUCKETS: Final = 4096
 # The share of a cold target grows in steps of this many seconds: each step costs a
 # rebuild of the service's table.
-RAMP_STEP_SECONDS: Final = 1.0
+RAMP_STEP_SECONDS: Final = 2.5
 SMALLEST_SHARE: Final = 0.05
 HASH_RANGE: Final = 2.0**64
 
--- a/measurements/spawning.py
+++ b/measurements/spawning.py
@@ -13,6 +13,7 @@
 
 from ibisshunt.model.address import Address
 
+UNKNOWN_EXIT = -1
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -76,7 +77,12 @@
     def _wait(self, timeout: float) -> int:
         deadline = time.monotonic() + timeout
         while time.monotonic() < deadline:
-            found, status = os.waitpid(self.pid, os.WNOHANG)
+            try:
+                found, status = os.waitpid(self.pid, os.WNOHANG)
+            except ChildProcessError:
+                # gevent's loop has taken the exit code already.
+                self.pid = 0
+                return UNKNOWN_EXIT
             if found:
                 self.pid = 0
                 return os.waitstatus_to_exitcode(status)
