Send one key three times through balancer, intake and front

Cause: no test drove the HTTP front through the whole path. Change: booking of the feature's system has a front under schema 2; a scenario sends one swap three times and counts the runs at the targets. Conclusion: at most once holds end to end in the plain case; failures are brought about in tests/components/requests and the ledger's properties.

--- a/ibisshunt/coordination/requests/ledger.py
+++ b/ibisshunt/coordination/requests/ledger.py
@@ -16,7 +16,7 @@
     Verdict,
 )
 
-# Bytes that a record takes beside its answer: measured by measurements/requests.py.
+# Bytes that a record takes beside its answer; see measurements/requests_ledger.py.
 RECORD_BYTES: Final = 1_000
 MAX_RELEASED: Final = 4
 MAX_LEDGER_BYTES: Final = 64 * 1024 * 1024
--- a/tests/features/system.py
+++ b/tests/features/system.py
@@ -27,6 +27,8 @@
     "reportery": "kai-heap",
 }
 DOMAINS = ("east", "west")
+CALLERS = ["127.0.0.0/8"]
+FRONTED = ("booking",)
 
 
 def reserve_addresses(kind=socket.SOCK_STREAM):
@@ -92,6 +94,7 @@
             next(self.tcp),
             target,
             self.replies,
+            rpc=next(self.tcp),
         )
 
     def start(self):
@@ -119,23 +122,23 @@
             {"kind": "business", "schema": 1, "name": name}
             for name in sorted(set(SERVICES.values()))
         ]
-        records += [
-            {
-                "kind": "service",
-                "schema": 1,
-                "business": business,
-                "name": name,
-                "address": self.services[name].address.ip,
-                "port": self.services[name].address.port,
-                "protocol": "tcp",
-                "callers": ["127.0.0.0/8"],
-                "slots": 1,
-                "sharing": "hunting",
-            }
-            for name, business in SERVICES.items()
-        ]
+        records += [self.make_service(name) for name in SERVICES]
         return records
 
+    def make_service(self, name):
+        place = self.services[name].address
+        record = {"kind": "service", "business": SERVICES[name], "name": name}
+        listen = {"address": place.ip, "port": place.port, "protocol": "tcp"}
+        if name not in FRONTED:
+            return {**record, "schema": 1, **listen, "callers": CALLERS}
+        return {
+            **record,
+            "schema": 2,
+            "listen": listen,
+            "admission": {"callers": CALLERS},
+            "front": {"kind": "http"},
+        }
+
     def status(self):
         return self.channel.call(STATUS, StatusRequest())
 
--- a/tests/features/test_whole_path.py
+++ b/tests/features/test_whole_path.py
@@ -143,6 +143,41 @@
     assert "schema" in outcome.error
 
 
+@when("a caller sends one swap with the same key 3 times through the balancer")
+def send_swap(system, seen):
+    # Agents open the view of who keeps which key shortly after they have announced:
+    # a request that comes earlier is told that it has not run.
+    address = system.services["booking"].address
+    with gevent.Timeout(20):
+        while not is_done(post(address, "/warm-up", "warm-up")):
+            gevent.sleep(0.1)
+    seen["before"] = count_requests(system)
+    seen["replies"] = [post(address, "/swap", "swap-1") for _ in range(3)]
+
+
+def post(address, path, key):
+    headers = {"Idempotency-Key": key, "Connection": "close"}
+    url = f"http://{address}{path}"
+    return urllib3.request("POST", url, headers=headers, retries=False, timeout=15)
+
+
+def is_done(reply):
+    return reply.headers.get("Ibisshunt-Outcome") == "done"
+
+
+def count_requests(system):
+    mine = [one for one in system.endpoints if one.service == "booking"]
+    return sum(endpoint.counts["requests"] for endpoint in mine)
+
+
+@then("the swap ran once and every answer is that of the run")
+def check_swap(system, seen):
+    assert [is_done(reply) for reply in seen["replies"]] == [True] * 3
+    assert len({reply.data for reply in seen["replies"]}) == 1
+    assert seen["replies"][0].data.endswith(b"answers /swap\n")
+    assert count_requests(system) - seen["before"] == 1
+
+
 @when("20 callers ask booking while booking-1 is drained")
 def drain_target(system, seen):
     def drain(number):
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -25,6 +25,10 @@
     When 5 callers open a flow to booking and ask 1 times over random balancers
     Then every answer comes from booking and each flow stays with one target
 
+  Scenario: A swap that is sent twice runs once
+    When a caller sends one swap with the same key 3 times through the balancer
+    Then the swap ran once and every answer is that of the run
+
   Scenario: Draining a target breaks no flow
     When 20 callers ask booking while booking-1 is drained
     Then every answer comes from booking and each flow stays with one target
