--- a/ibisshunt/components/requests/front.py
+++ b/ibisshunt/components/requests/front.py
@@ -13,6 +13,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from returns.result import Failure, Result, Success
 
+from ...helpers.relay import reset_connection
 from ...model.address import Address
 from ...model.record import RequestPolicy
 from ...protocol.requests import Outcome, Part, PartKind, Request
@@ -252,13 +253,3 @@
             gevent.kill(task, CallerLeftError())
     finally:
         watcher.close()
-
-
-def reset_connection(connection: socket.socket) -> None:
-    """Close so that the caller sees a reset, not an end in order."""
-    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-    try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
-    except OSError:
-        return
