Give refusals the same reasons on both intakes

Cause: packets said caller and no_service where streams said caller_not_allowed and unknown_service for the same refusal. Conclusion: one alert covers both intakes.

--- a/ibisshunt/coordination/flows/openings.py
+++ b/ibisshunt/coordination/flows/openings.py
@@ -19,7 +19,7 @@
     """Take a new flow, pass it on, or refuse it before a byte reaches a target."""
     header = arrival.header
     if not state.admit(arrival.key[1:5]):
-        return drop("caller")
+        return drop("caller_not_allowed")
     if header.flags & SEEKING:
         return _answer(state, arrival)
     if header.flags & PASSED:
--- a/ibisshunt/coordination/flows/router.py
+++ b/ibisshunt/coordination/flows/router.py
@@ -149,9 +149,9 @@
         A changed address or list of callers is a planned change: flows that are
         established go on, and the agents know which these are.
         """
-        reason = "caller"
+        reason = "caller_not_allowed"
         if route is None:
-            reason = "no_service"
+            reason = "unknown_service"
             former = self._former.get(key[0:1] + key[5:9] + key[11:13])
             route = self._routes.get(former.service) if former else None
         if route is None or (bits & TCP and bits & OPENS):
--- a/tests/components/test_packets.py
+++ b/tests/components/test_packets.py
@@ -202,8 +202,8 @@
     assert path.receive()[1] == make_tcp(SYN)
     refusals = path.balancer.packets._refusals
     refusals.flush(path.balancer.metrics, 0.0)
-    assert refusals.totals["caller"] == 1
-    assert refusals.totals["no_service"] == 1
+    assert refusals.totals["caller_not_allowed"] == 1
+    assert refusals.totals["unknown_service"] == 1
     assert refusals.totals["malformed"] >= 4
 
 
--- a/tests/coordination/flows/test_hazards.py
+++ b/tests/coordination/flows/test_hazards.py
@@ -383,14 +383,14 @@
     world.service = make_service(address="127.1.0.2", callers=("127.4.0.0/16",))
     world.spread()
     check_all(world, owners)
-    assert world.send(make_tcp(SYN, port=50_000)).reason == "no_service"
+    assert world.send(make_tcp(SYN, port=50_000)).reason == "unknown_service"
     moved = make_tcp(SYN, port=50_000, service="127.1.0.2")
-    assert world.send(moved).reason == "caller"
+    assert world.send(moved).reason == "caller_not_allowed"
     allowed = make_tcp(SYN, port=1, service="127.1.0.2", caller="127.4.0.1")
     assert world.send(allowed).target
     world.now += world.service.idle_timeout_ms / 1000 + 1
     world.balancers[0].refresh(world.now)
-    assert world.go_on(PORTS[0]).reason == "no_service"
+    assert world.go_on(PORTS[0]).reason == "unknown_service"
 
 
 def test_hazard_9_callers_are_checked_again_at_the_agent():
@@ -398,7 +398,7 @@
     owners = open_all(world)
     world.service = make_service(callers=("127.4.0.0/16",))
     world.spread(balancers=())
-    assert world.send(make_tcp(SYN, port=50_000)).reason == "caller"
+    assert world.send(make_tcp(SYN, port=50_000)).reason == "caller_not_allowed"
     check_all(world, owners)
 
 
@@ -519,7 +519,7 @@
     assert refused.reset
     assert refused.reason == "refused"
     check_all(world, owners)
-    assert world.send(make_udp(port=1, service="127.1.0.1")).reason == "no_service"
+    assert world.send(make_udp(port=1, service="127.1.0.1")).reason == "unknown_service"
 
 
 def test_without_any_ready_target_suspects_take_new_flows():
--- a/tests/features/test_whole_path.py
+++ b/tests/features/test_whole_path.py
@@ -124,7 +124,7 @@
 
 
 DRAIN_ROUNDS = 60
-REASONS = ("malformed", "no_service", "caller")
+REASONS = ("malformed", "unknown_service", "caller_not_allowed")
 
 
 def count_refused(system, reason):
