--- a/ibisshunt/cli/client.py
+++ b/ibisshunt/cli/client.py
@@ -9,7 +9,8 @@
 from ..exceptions import RpcError
 from ..helpers.tls import make_channel_credentials
 from ..model.address import Address, parse_address
-from ..protocol.rpc import Channel, Method
+from ..protocol.method import Method
+from ..protocol.rpc import Channel
 from ..settings import TlsSettings
 
 
--- a/ibisshunt/components/consensus/forwarding.py
+++ b/ibisshunt/components/consensus/forwarding.py
@@ -5,8 +5,8 @@
 from ...coordination.consensus import OutcomeUnknown
 from ...exceptions import Fault, RpcError
 from ...model.address import Address
+from ...protocol.caller import Caller
 from ...protocol.consensus import FORWARD, ForwardRequest
-from ...protocol.rpc import Channel
 from .links import MakeChannel
 
 # What a forwarded proposal gets on top for the way there and back.
@@ -18,7 +18,7 @@
 
     def __init__(self, make_channel: MakeChannel) -> None:
         self._make_channel = make_channel
-        self._channels: dict[Address, Channel] = {}
+        self._channels: dict[Address, Caller] = {}
 
     def forward(
         self, address: Address, command: bytes, timeout: float
--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -9,12 +9,13 @@
 from ...coordination.consensus.state import Event
 from ...exceptions import RpcError
 from ...helpers.logging import log_event
-from ...model.address import Address
+from ...model.address import Address, parse_address
+from ...protocol.caller import Caller
 from ...protocol.consensus import HELLO, HelloReply, HelloRequest
-from ...protocol.rpc import Channel
 
 HELLO_TIMEOUT_SECONDS = 1.0
 HELLO_PAUSE_SECONDS = 0.3
+DONE_PAUSE_SECONDS = 0.5
 CLUSTER_ID_BYTES = 8
 
 
@@ -27,9 +28,10 @@
         host: str,
         address: Address,
         peers: Mapping[str, Address],
-        make_channel: Callable[[Address], Channel],
+        make_channel: Callable[[Address], Caller],
         find_cluster: Callable[[], str],
         give: Callable[[Event], bool],
+        may_found: bool = True,
     ) -> None:
         self._name = name
         self._host = host
@@ -38,16 +40,22 @@
         self._make_channel = make_channel
         self._find_cluster = find_cluster
         self._give = give
+        self._may_found = may_found
+        self._referred: Address | None = None
         self.names = tuple(sorted({name, *peers}))
         self._told = ""
 
     def run(self, is_done: Callable[[], bool]) -> None:
         """Introduce this host to all peers until it is a member."""
-        channels = {
+        channels: dict[str, Caller] = {
             name: self._make_channel(address) for name, address in self._peers.items()
         }
         try:
-            while not is_done():
+            while True:
+                if is_done():
+                    gevent.sleep(DONE_PAUSE_SECONDS)
+                    continue
+                self._follow_referral(channels)
                 replies = self._greet(channels)
                 self._tell(replies)
                 if event := self._decide(replies):
@@ -58,7 +66,15 @@
             for channel in channels.values():
                 channel.close()
 
-    def _greet(self, channels: Mapping[str, Channel]) -> dict[str, HelloReply]:
+    def _follow_referral(self, channels: dict[str, Caller]) -> None:
+        """Ask the leader too, which the settings need not name."""
+        address = self._referred
+        if address is None or address in (self._address, *self._peers.values()):
+            return
+        if str(address) not in channels:
+            channels[str(address)] = self._make_channel(address)
+
+    def _greet(self, channels: Mapping[str, Caller]) -> dict[str, HelloReply]:
         request = HelloRequest(
             self._host, str(self._address), self._find_cluster(), self.names
         )
@@ -68,6 +84,9 @@
                 replies[name] = channel.call(HELLO, request, HELLO_TIMEOUT_SECONDS)
             except RpcError:
                 continue
+            if replies[name].leader:
+                found = parse_address(replies[name].leader)
+                self._referred = found.value_or(self._referred)
         return replies
 
     def _tell(self, replies: Mapping[str, HelloReply]) -> None:
@@ -96,9 +115,11 @@
         would start a second history beside the first. The lowest name founds, so that
         only one does.
         """
+        if not self._may_found:
+            return None
         if self._find_cluster() or self._name != self.names[0]:
             return None
-        if set(replies) != set(self._peers):
+        if not set(replies) >= set(self._peers):
             return None
         if any(
             reply.cluster or reply.names != self.names for reply in replies.values()
--- a/ibisshunt/components/consensus/links.py
+++ b/ibisshunt/components/consensus/links.py
@@ -8,15 +8,15 @@
 from ...helpers.logging import log_event, warn_event
 from ...helpers.mailbox import Mailbox
 from ...model.address import Address
+from ...protocol.caller import Caller
 from ...protocol.consensus import EXCHANGE, ExchangeRequest, Packed, pack
-from ...protocol.rpc import Channel
 
 EXCHANGE_TIMEOUT_SECONDS = 2.0
 MAX_BATCH_ENVELOPES = 256
 MAX_BATCH_BYTES = 4 * 1024 * 1024
 WAITING_ENVELOPES = 1_024
 
-MakeChannel = Callable[[Address], Channel]
+MakeChannel = Callable[[Address], Caller]
 Spawn = Callable[..., Any]
 
 
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -1,7 +1,6 @@
 """Run the replicated log of one control host as a task."""
 
 import random
-import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,9 +23,10 @@
 from ...coordination.consensus.membership import name_of, needs_admission
 from ...coordination.consensus.state import Event
 from ...exceptions import Fault
+from ...helpers.clock import read_clock
 from ...helpers.mailbox import Mailbox
 from ...model.address import Address, parse_address
-from ...protocol.rpc import Channel
+from ...protocol.caller import Caller
 from ...settings import ControlSettings
 from ..storage import Recovered, Store
 from .driver import Driver, StateMachine
@@ -46,23 +46,27 @@
 RESERVED_BYTES = 64 * 1024 * 1024
 
 
-def read_clock() -> float:
-    """Return seconds that never go back and go on while the machine is suspended.
+def make_grpc_channel(address: Address) -> Caller:
+    """Return a gRPC channel; only those who call it pay for the import."""
+    from ...protocol.rpc import Channel
 
-    The ordinary monotonic clock stands still in a suspended virtual machine, whose
-    leader would wake up and think that no time had passed.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return Channel(address)
 
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """Hold what tests and embedders may change."""
+    """Hold what tests and embedders may change.
+
+    ``may_found`` tells whether a host with an empty disk may found a cluster,
+    ``admit_unknown`` whether hosts that no settings name may join.
+    """
 
     consensus: ConsensusSettings = ConsensusSettings()
-    make_channel: MakeChannel = Channel
+    make_channel: MakeChannel = make_grpc_channel
     reserved_bytes: int = RESERVED_BYTES
     snapshot_entries: int = 1_000
+    may_found: bool = True
+    admit_unknown: bool = False
 
 
 class ReplicatedLog:
@@ -103,6 +107,7 @@
             options.make_channel,
             self._find_cluster,
             self.give,
+            options.may_found,
         )
         self._forwarder = Forwarder(options.make_channel)
         self._room = Room(store.free_bytes, options.reserved_bytes)
@@ -187,9 +192,9 @@
     def start(self) -> None:
         """Begin to take part; the handlers must be served by then."""
         self._loop = self._spawn("replicated log", self._run)
-        if not self._is_member():
+        if not self._is_member() or self.options.admit_unknown:
             self._tasks.append(
-                self._spawn("join cluster", self.joiner.run, self._is_member)
+                self._spawn("join cluster", self.joiner.run, self._has_joined)
             )
 
     def stop(self) -> None:
@@ -262,6 +267,13 @@
     def _is_member(self) -> bool:
         return not needs_admission(self.driver.state)
 
+    def _has_joined(self) -> bool:
+        if not self._is_member():
+            return False
+        # A host that was removed while it was away still finds itself in its own log;
+        # that no leader speaks to it tells otherwise.
+        return not self.options.admit_unknown or bool(self.driver.state.leader)
+
     def _must_linger(self) -> bool:
         if self._loop is None or self._loop.dead:
             return False
--- a/ibisshunt/components/consensus/serving.py
+++ b/ibisshunt/components/consensus/serving.py
@@ -22,7 +22,7 @@
     make_reply,
     unpack,
 )
-from ...protocol.rpc import Method
+from ...protocol.method import Method
 from .driver import NO_TICKET
 from .replicated_log import ReplicatedLog
 
@@ -46,7 +46,9 @@
     def greet(request: HelloRequest, context: Any) -> HelloReply:
         _admit(log, request)
         cluster = log.driver.state.hard.cluster
-        return HelloReply(log.driver.host, cluster, log.joiner.names)
+        leader = log.leader_address()
+        where = str(leader) if leader else ""
+        return HelloReply(log.driver.host, cluster, log.joiner.names, where)
 
     return {EXCHANGE: exchange, FORWARD: forward, HELLO: greet}
 
@@ -59,7 +61,8 @@
         return
     if find_member(state.log.membership, request.host) is not None:
         return
-    if name_of(request.host) not in log.joiner.names:
+    is_known = name_of(request.host) in log.joiner.names
+    if not is_known and not log.options.admit_unknown:
         warn_event("unknown_host_refused", peer=request.host, address=request.address)
         return
     if is_successful(parse_address(request.address)):
--- /dev/null
+++ b/ibisshunt/components/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Own the datagrams between the nodes of a fleet."""
--- /dev/null
+++ b/ibisshunt/components/directory/inner.py
@@ -0,0 +1,90 @@
+"""Send and receive typed messages between nodes as datagrams."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ...coordination.directory.messages import (
+    Fetch,
+    Hello,
+    Introduce,
+    Notice,
+    Piece,
+    Welcome,
+)
+from ...coordination.forwarding.messages import Ask, Deliver, Returned, Status, Told
+from ...helpers.datagrams import DatagramSocket
+from ...helpers.logging import warn_event
+from ...model.address import Address
+
+Message = (
+    Deliver
+    | Returned
+    | Ask
+    | Told
+    | Status
+    | Hello
+    | Welcome
+    | Introduce
+    | Notice
+    | Fetch
+    | Piece
+)
+Handler = Callable[[str, Any], None]
+
+
+class InnerSocket:
+    """Own the socket at which other nodes reach this one.
+
+    All nodes use the same port, so that an address names a node.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._socket = DatagramSocket(address)
+        self._port = address.port
+        self._handlers: dict[type, Handler] = {}
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._decode = msgspec.msgpack.Decoder(Message).decode
+        self.unreadable = 0
+        self.unsent = 0
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """Call ``handler`` with the sender's IPv4 address and each such message."""
+        self._handlers[kind] = handler
+
+    def send(self, peer: str, message: Any) -> None:
+        """Send a message without waiting; what the system refuses is lost."""
+        try:
+            self._socket.send_to(self._encode(message), (peer, self._port))
+        except OSError as error:
+            # Datagrams get lost anyway and every message is sent again by its
+            # sender's timers; the count tells when it happens often.
+            self.unsent += 1
+            if self.unsent & (self.unsent - 1) == 0:
+                warn_event("datagram_unsent", peer=peer, error=error, count=self.unsent)
+
+    def run(self) -> None:
+        """Serve until killed."""
+        self._socket.serve(self._take)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def _take(self, data: bytes, sender: tuple[str, int]) -> None:
+        try:
+            message = self._decode(data)
+        except msgspec.DecodeError as error:
+            self.unreadable += 1
+            if self.unreadable & (self.unreadable - 1) == 0:
+                warn_event(
+                    "datagram_unreadable",
+                    peer=sender[0],
+                    error=error,
+                    count=self.unreadable,
+                )
+            return
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender[0], message)
--- /dev/null
+++ b/ibisshunt/components/directory/node.py
@@ -0,0 +1,141 @@
+"""Keep a balancer or agent in touch: introduce it, and fetch new configurations."""
+
+import random
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from ...coordination.directory.contacts import Contacts
+from ...coordination.directory.download import Download, make_pieces
+from ...coordination.directory.messages import (
+    Fetch,
+    Introduce,
+    NodeRole,
+    Notice,
+    Piece,
+    Welcome,
+)
+from ...helpers.clock import read_clock
+from ...helpers.logging import log_event, warn_event
+from .inner import InnerSocket
+
+# How often a node introduces itself. Unit: seconds. Source: a lost notice of a new
+# configuration is mended within 3 s even when two of these are lost as well.
+HELLO_SECONDS = 0.7
+# How often while it knows nobody. Unit: seconds. Source: a start should take less
+# than a second once a control host answers.
+FIRST_HELLO_SECONDS = 0.15
+TICK_SECONDS = 0.1
+# A control host was heard lately. Unit: seconds. Source: three introductions.
+IN_TOUCH_SECONDS = 2.2
+
+
+class NodeDirectory:
+    """Own one node's contacts and its copy of the configuration."""
+
+    def __init__(
+        self,
+        inner: InnerSocket,
+        role: NodeRole,
+        seeds: tuple[str, ...],
+        take_configuration: Callable[[bytes], int | None],
+        meet: Callable[[str], None],
+    ) -> None:
+        self.contacts = Contacts(role, seeds)
+        self.version = 0
+        self._whole = b""
+        self._download = Download()
+        self._inner = inner
+        self._take_configuration = take_configuration
+        self._meet = meet
+        self._in_touch = False
+        inner.handle(Welcome, self._take_welcome)
+        inner.handle(Notice, self._take_notice)
+        inner.handle(Piece, self._take_piece)
+        inner.handle(Fetch, self._take_fetch)
+        inner.handle(Introduce, self._take_introduce)
+
+    def run(self) -> None:
+        """Keep in touch until killed."""
+        hello_at = 0.0
+        while True:
+            now = read_clock()
+            if now >= hello_at:
+                hello_at = now + self._introduce(now)
+            self._ask(self._download.sweep(now))
+            self.contacts.sweep(now)
+            gevent.sleep(TICK_SECONDS)
+
+    def offer(self, peer: str, version: int) -> None:
+        """Take the word that a node holds a version."""
+        self._ask(self._download.offer(peer, version, read_clock()))
+
+    def is_in_touch(self) -> bool:
+        """Tell whether a control host was heard lately."""
+        return self.contacts.count_heard(read_clock(), IN_TOUCH_SECONDS) > 0
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        now = read_clock()
+        return {
+            "version": self.version,
+            "control": self.contacts.list_control(now),
+            "nodes": self.contacts.list_nodes(),
+            "in_touch": self.is_in_touch(),
+        }
+
+    def _introduce(self, now: float) -> float:
+        hello = self.contacts.make_hello(self.version)
+        for address in self.contacts.list_control(now):
+            self._inner.send(address, hello)
+        in_touch = self.is_in_touch()
+        if in_touch != self._in_touch:
+            self._in_touch = in_touch
+            log_event("control_in_touch" if in_touch else "control_out_of_touch")
+        pause = HELLO_SECONDS if in_touch else FIRST_HELLO_SECONDS
+        # Spread: all nodes of a fleet start within a moment and would else speak in
+        # the same one for ever.
+        return pause * (0.8 + 0.4 * random.random())
+
+    def _take_welcome(self, peer: str, welcome: Welcome) -> None:
+        for node in self.contacts.take(peer, welcome, read_clock()):
+            log_event("node_learned", peer=node, source=peer)
+            self._meet(node)
+        self.offer(peer, welcome.version)
+
+    def _take_notice(self, peer: str, notice: Notice) -> None:
+        self.offer(peer, notice.version)
+
+    def _take_introduce(self, peer: str, message: Introduce) -> None:
+        self.contacts.note(peer, read_clock())
+        self._meet(peer)
+
+    def _take_piece(self, peer: str, piece: Piece) -> None:
+        whole, ask = self._download.take(peer, piece, read_clock())
+        self._ask(ask)
+        if whole is None:
+            return
+        try:
+            version = self._take_configuration(zlib.decompress(whole))
+        except zlib.error as error:
+            warn_event("configuration_unreadable", peer=peer, error=error)
+            return
+        if version is None or version <= self.version:
+            return
+        self.version, self._whole = version, whole
+        self._download.hold(version)
+        log_event("configuration_in_force", version=version, source=peer)
+        # At once: control counts who is behind, and would tell this node again.
+        self._introduce(read_clock())
+
+    def _take_fetch(self, peer: str, fetch: Fetch) -> None:
+        if self.version < fetch.version:
+            return
+        for piece in make_pieces(self.version, self._whole, fetch.first):
+            self._inner.send(peer, piece)
+
+    def _ask(self, question: tuple[str, Fetch] | None) -> None:
+        if question is not None:
+            self._inner.send(*question)
--- /dev/null
+++ b/ibisshunt/components/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Own the sockets of balancers and agents that forward packets of flows."""
--- /dev/null
+++ b/ibisshunt/components/forwarding/agent.py
@@ -0,0 +1,156 @@
+"""Forward packets to and from the target beside one agent."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from ...coordination.forwarding.agent import Action, Agent, Announcement
+from ...coordination.forwarding.messages import Ask, Deliver, Send, ToTarget
+from ...helpers.clock import read_clock
+from ...helpers.datagrams import DatagramSocket
+from ...helpers.decisions import DecisionLog
+from ...helpers.logging import warn_event
+from ...model.node import NodeSettings
+from ...protocol.segments import SegmentCodec
+from ..directory.inner import InnerSocket
+
+# How often balancers hear of the target. Unit: seconds. Source: loads change with
+# each flow; a target that is silent for three of these is left out.
+STATUS_SECONDS = 0.4
+TICK_SECONDS = 0.1
+# How long a stop waits for the requests at work. Unit: seconds. Source: a stop may
+# take 6 s at most; requests take some hundred milliseconds.
+STOP_SECONDS = 2.0
+
+
+class AgentTask:
+    """Own the sockets and the decisions of one agent."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        codec: SegmentCodec,
+        inner: InnerSocket,
+        list_balancers: Callable[[], list[str]],
+    ) -> None:
+        if settings.outward is None or settings.target is None:
+            raise ValueError("an agent needs its outward address and its target's")
+        if settings.packets is None:
+            raise ValueError("an agent needs the port at which callers are reached")
+        now = read_clock()
+        self.log = DecisionLog()
+        self.agent = Agent(
+            settings.service,
+            int(now * 1000),
+            settings.heartbeat,
+            now,
+            self.log.tell,
+            settings.max_flow,
+        )
+        self.unreadable = 0
+        self._codec = codec
+        self._inner = inner
+        self._list_balancers = list_balancers
+        self._caller_port = settings.packets.port
+        self._target = settings.target.as_pair()
+        self._socket = DatagramSocket(settings.outward)
+        self._status_at = 0.0
+        inner.handle(Deliver, self._take_delivery)
+        inner.handle(Ask, self._take_question)
+
+    def run(self) -> None:
+        """Serve the target until killed."""
+        self._socket.serve(self._take_outward)
+
+    def run_status(self) -> None:
+        """Tell balancers of the target until killed."""
+        while True:
+            now = read_clock()
+            if self.agent.sweep(now):
+                self.tell_all()
+            if now >= self._status_at:
+                self.tell_all()
+            gevent.sleep(TICK_SECONDS)
+
+    def tell_all(self) -> None:
+        """Send the present status to all balancers."""
+        now = read_clock()
+        self._status_at = now + STATUS_SECONDS
+        status = self.agent.report(now)
+        for address in self._list_balancers():
+            self._inner.send(address, status)
+
+    def meet(self, peer: str) -> None:
+        """Tell one balancer of the target."""
+        self._inner.send(peer, self.agent.report(read_clock()))
+
+    def announce(self, found: Announcement) -> None:
+        """Take a heartbeat of the target; balancers hear of a change at once."""
+        if self.agent.announce(found, read_clock()):
+            self.tell_all()
+
+    def leave(self, name: str) -> None:
+        """Take the target's last word."""
+        if self.agent.leave(name):
+            self.tell_all()
+
+    def stop(self) -> None:
+        """Take no more flows, and wait for the requests at work, 2 s at most."""
+        self.agent.pause()
+        self.tell_all()
+        deadline = read_clock() + STOP_SECONDS
+        while read_clock() < deadline and self.agent.requests.active:
+            gevent.sleep(TICK_SECONDS / 2)
+        self.tell_all()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump."""
+        agent = self.agent
+        return {
+            "service": agent.service,
+            "state": agent.state.name,
+            "flows": len(agent.flows),
+            "active": agent.requests.active,
+            "finished": agent.requests.finished,
+            "mean_seconds": agent.requests.mean_seconds,
+        }
+
+    def _take_delivery(self, peer: str, message: Deliver) -> None:
+        segment = self._codec.parse_inward(message.packet)
+        if segment is None:
+            self.unreadable += 1
+            return
+        self._carry_out(self.agent.take(peer, message, segment, read_clock()))
+
+    def _take_question(self, peer: str, message: Ask) -> None:
+        self._inner.send(peer, self.agent.tell(message, read_clock()))
+
+    def _take_outward(self, data: bytes, sender: tuple[str, int]) -> None:
+        segment = self._codec.parse_outward(data)
+        if segment is None:
+            self.unreadable += 1
+            return
+        self._carry_out(self.agent.take_outward(segment, read_clock()))
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._inner.send(action.peer, action.message)
+            return
+        segment = action.segment
+        if isinstance(action, ToTarget):
+            origin = bytes(int(part) for part in action.origin.split("."))
+            packet, where = self._codec.mark(segment, origin), self._target
+        else:
+            caller = self._codec.find_caller(segment)
+            packet, where = segment.raw, (caller, self._caller_port)
+        try:
+            self._socket.send_to(packet, where)
+        except OSError as error:
+            # Both ends send again what is lost; a target that is gone shows in its
+            # heartbeats.
+            warn_event("packet_unsent", peer=where[0], error=error)
--- a/ibisshunt/components/requests/peers.py
+++ b/ibisshunt/components/requests/peers.py
@@ -17,6 +17,7 @@
 from ...exceptions import RpcError
 from ...helpers.logging import warn_event
 from ...model.address import Address
+from ...protocol.method import Method
 from ...protocol.requests import (
     CLAIM,
     FETCH,
@@ -31,7 +32,7 @@
     PullRequest,
     SettleCall,
 )
-from ...protocol.rpc import Channel, Method
+from ...protocol.rpc import Channel
 
 CALL_SECONDS: Final = 0.5
 FETCH_SECONDS: Final = 5.0
--- /dev/null
+++ b/ibisshunt/components/versions/__init__.py
@@ -0,0 +1,112 @@
+"""Take, keep and give out complete configurations on a control host."""
+
+from returns.result import Failure, Result, Success
+
+from ...coordination.consensus import ConsensusSettings, NotAccepted
+from ...coordination.consensus.membership import list_voters, name_of
+from ...coordination.versions import (
+    Outcome,
+    VersionStore,
+    decode_outcome,
+    encode_put,
+)
+from ...core import Kernel
+from ...exceptions import Fault
+from ...helpers.logging import log_event
+from ...model.address import Address
+from ...model.node import NodeSettings
+from ...protocol.framed import FramedChannel, FramedServer
+from ...settings import ControlSettings
+from .. import consensus
+from ..consensus import Options, ReplicatedLog, StateMachine
+
+# How long a change or a read may take. Unit: seconds. Source: callers go to another
+# host after a second without an answer.
+ANSWER_SECONDS = 0.9
+# Bytes that stay free on the disk. Source: some tens of the largest configurations,
+# so that entries of other leaders still fit on a disk of 128 MB.
+RESERVED_BYTES = 8 * 1024 * 1024
+
+
+class VersionService:
+    """Offer the newest configuration to the other services of this process."""
+
+    def __init__(
+        self, store: VersionStore, log: ReplicatedLog, wanted_voters: int
+    ) -> None:
+        self.store = store
+        self._log = log
+        self._wanted = wanted_voters
+
+    def put(self, version: int, body: bytes) -> Result[Outcome, Fault]:
+        """Return once the version is accepted or known to be overtaken."""
+        if fault := self._find_obstacle():
+            return Failure(fault)
+        result = self._log.propose(encode_put(version, body), ANSWER_SECONDS)
+        outcome = result.map(decode_outcome)
+        log_event(
+            "configuration_put",
+            version=version,
+            bytes=len(body),
+            outcome=outcome.value_or(None) or outcome.failure(),
+        )
+        return outcome
+
+    def get(self) -> Result[bytes, Fault]:
+        """Return the newest accepted configuration; fail when that is not sure."""
+        passed = self._log.read_barrier(ANSWER_SECONDS)
+        return passed.bind(lambda index: Success(self.store.body))
+
+    def list_control(self) -> tuple[str, ...]:
+        """Return the addresses of the control hosts."""
+        members = self._log.driver.state.log.membership.members
+        return tuple(sorted({name_of(member.host) for member in members}))
+
+    def _find_obstacle(self) -> Fault | None:
+        voters = list_voters(self._log.driver.state.log.membership)
+        if len(voters) >= self._wanted:
+            return None
+        # With fewer voters the losses that must be borne could take what was
+        # accepted with them.
+        reason = f"{len(voters)} voters, {self._wanted} wanted"
+        return NotAccepted("put configuration", "", reason)
+
+
+def setup(kernel: Kernel, settings: NodeSettings) -> VersionService:
+    """Start the replicated log; register it as "versions" and return it.
+
+    Hosts go by their addresses: a replaced host comes with a new one, and the log
+    itself tells who is a member.
+    """
+    store = VersionStore()
+    machine = StateMachine(store.apply, store.take_snapshot, store.restore)
+    port = settings.inner_calls.port
+    peers = {seed: Address(seed, port) for seed in settings.seeds}
+    control = ControlSettings(
+        name=settings.address,
+        failure_domain=settings.failure_domain,
+        rpc=settings.inner_calls,
+        admin=settings.inner_calls,
+        data_folder=settings.data_folder,
+        peers=peers,
+    )
+    wanted = 2 * settings.losses + 1
+    options = Options(
+        consensus=ConsensusSettings(kept_voters=wanted),
+        make_channel=FramedChannel,
+        reserved_bytes=RESERVED_BYTES,
+        may_found=settings.is_first_start and settings.address in settings.seeds,
+        admit_unknown=True,
+    )
+    log = consensus.setup(kernel, control, machine, options)
+    server = FramedServer(settings.inner_calls, consensus.make_handlers(log))
+    server.start()
+    log.start()
+    service = VersionService(store, log, wanted)
+
+    def unload() -> None:
+        log.stop()
+        server.stop()
+
+    kernel.register("versions", service, unload=unload)
+    return service
--- a/ibisshunt/coordination/__init__.py
+++ b/ibisshunt/coordination/__init__.py
@@ -21,23 +21,28 @@
 ``docs/LIBRARY.md``.
 """
 
-from . import consensus
-from .distribution.receiver import receive
-from .distribution.sender import Sender
-from .flows.owner import FlowOwner
-from .flows.router import Router
-from .flows.table import ServiceTable
-from .membership.leases import LeaseBook
-from .records.commands import (
-    AnnounceTarget,
-    ChangeRecords,
-    ChangeTargets,
-    decode_command,
-    encode_command,
-)
-from .records.documents import parse_document
-from .records.store import RecordStore
-from .requests import Admission, Ledger
+from importlib import import_module
+from typing import Any
+
+# Where each name lives. A program that runs one part must not pay for the import of
+# all of them: a balancer has a quarter of a core to start on.
+_HOMES = {
+    "Admission": ".requests",
+    "AnnounceTarget": ".records.commands",
+    "ChangeRecords": ".records.commands",
+    "ChangeTargets": ".records.commands",
+    "FlowOwner": ".flows.owner",
+    "LeaseBook": ".membership.leases",
+    "Ledger": ".requests",
+    "RecordStore": ".records.store",
+    "Router": ".flows.router",
+    "Sender": ".distribution.sender",
+    "ServiceTable": ".flows.table",
+    "decode_command": ".records.commands",
+    "encode_command": ".records.commands",
+    "parse_document": ".records.documents",
+    "receive": ".distribution.receiver",
+}
 
 __all__ = [
     "Admission",
@@ -57,3 +62,12 @@
     "parse_document",
     "receive",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import a part when it is first asked for."""
+    if name == "consensus":
+        return import_module(".consensus", __name__)
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(_HOMES[name], __name__), name)
--- a/ibisshunt/coordination/consensus/membership.py
+++ b/ibisshunt/coordination/consensus/membership.py
@@ -117,6 +117,36 @@
         if not member.voter and _may_promote(state, member.host, now):
             _change(state, _promote(state.log.membership, member.host), 0)
             return
+    _remove_silent(state, now)
+
+
+def _remove_silent(state: HostState, now: float) -> None:
+    """Take out a host that another one has replaced under another name.
+
+    A host that is gone for good still counts for the quorum: with it, the losses that
+    must be borne would leave no majority. At least ``kept_voters`` stay, so that a
+    host which is only away for a while is never missed.
+    """
+    kept = state.settings.kept_voters
+    if not kept:
+        return
+    voters = list_voters(state.log.membership)
+    for member in state.log.membership.members:
+        if member.voter and len(voters) <= kept:
+            continue
+        if _is_silent(state, member.host, now) and not _check_removal(
+            state, member.host, now
+        ):
+            _change(state, _without(state.log.membership, member.host), 0)
+            return
+
+
+def _is_silent(state: HostState, host: str, now: float) -> bool:
+    progress = state.progress.get(host)
+    if progress is None:
+        return False
+    heard_at = max(progress.heard_at, state.elected_at)
+    return now - heard_at >= state.settings.silent_seconds
 
 
 def _find_obstacle(state: HostState, now: float) -> str:
--- a/ibisshunt/coordination/consensus/state.py
+++ b/ibisshunt/coordination/consensus/state.py
@@ -27,7 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConsensusSettings:
-    """Bound times (seconds), batches (entries, bytes) and the number of voters."""
+    """Bound times (seconds), batches (entries, bytes) and the number of voters.
+
+    While there are more voters than ``kept_voters``, one that was silent for
+    ``silent_seconds`` is removed; 0 leaves that to the operator.
+    """
 
     heartbeat_seconds: float = 0.2
     election_seconds: float = 1.2
@@ -39,6 +43,8 @@
     kept_entries: int = 512
     kept_bytes: int = 4 * 1024 * 1024
     max_voters: int = 9
+    kept_voters: int = 0
+    silent_seconds: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -0,0 +1,74 @@
+"""Remember, on a node, the control hosts and the nodes it works with."""
+
+from collections.abc import Iterable
+
+from .messages import Hello, NodeRole, Welcome
+
+# How long a node is kept that no control host lists any more. Unit: seconds. Source:
+# the longest time without control that is planned for, a cut of half a minute.
+UNLISTED_SECONDS = 40.0
+# How long a control host is asked that is neither listed nor in the settings. Unit:
+# seconds. Source: as above.
+CONTROL_SECONDS = 40.0
+
+
+class Contacts:
+    """Own what one node knows of the others; times are in seconds."""
+
+    def __init__(self, role: NodeRole, seeds: Iterable[str]) -> None:
+        self.role = role
+        self.seeds = tuple(seeds)
+        self.digest = 0
+        self._control: dict[str, float] = {}
+        self._nodes: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+
+    def make_hello(self, version: int) -> Hello:
+        """Return the introduction for the control hosts."""
+        return Hello(self.role, version, self.digest)
+
+    def list_control(self, now: float) -> list[str]:
+        """Return the control hosts to introduce this node to."""
+        listed = [
+            address
+            for address, at in self._control.items()
+            if now - at < CONTROL_SECONDS
+        ]
+        return sorted({*self.seeds, *listed})
+
+    def list_nodes(self) -> list[str]:
+        """Return the nodes to work with."""
+        return list(self._nodes)
+
+    def take(self, address: str, welcome: Welcome, now: float) -> list[str]:
+        """Take a control host's answer; return the nodes that are new.
+
+        Lists of several control hosts are joined: one that has just started, or was
+        cut off, knows only some nodes.
+        """
+        self._heard[address] = now
+        for control in welcome.control:
+            self._control[control] = now
+        if welcome.nodes is None:
+            for node in self._nodes:
+                self._nodes[node] = now
+            return []
+        self.digest = welcome.digest
+        return [node for node in welcome.nodes if self.note(node, now)]
+
+    def note(self, node: str, now: float) -> bool:
+        """Take a node that was listed or heard; return whether it is new."""
+        is_new = node not in self._nodes
+        self._nodes[node] = now
+        return is_new
+
+    def count_heard(self, now: float, within: float) -> int:
+        """Count the control hosts heard in the last ``within`` seconds."""
+        return sum(now - at < within for at in self._heard.values())
+
+    def sweep(self, now: float) -> None:
+        """Forget nodes that were not listed for long."""
+        for node, at in tuple(self._nodes.items()):
+            if now - at >= UNLISTED_SECONDS:
+                del self._nodes[node]
+                self.digest = 0
--- /dev/null
+++ b/ibisshunt/coordination/directory/messages.py
@@ -0,0 +1,63 @@
+"""Name what nodes and control hosts tell each other."""
+
+from enum import IntEnum
+
+import msgspec
+
+
+class NodeRole(IntEnum):
+    """Name what a node does."""
+
+    BALANCER = 0
+    AGENT = 1
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """Introduce a node to a control host.
+
+    ``version`` is the configuration it holds, ``digest`` the list of nodes it knows.
+    """
+
+    role: int
+    version: int
+    digest: int
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    """Answer Hello.
+
+    ``nodes`` are the addresses that the node works with, or None when the digest says
+    that it knows them; ``control`` are the control hosts.
+    """
+
+    version: int
+    digest: int
+    control: tuple[str, ...]
+    nodes: tuple[str, ...] | None
+
+
+class Introduce(msgspec.Struct, frozen=True, array_like=True, tag="i"):
+    """Tell an agent of a balancer that wants its status."""
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True, tag="n"):
+    """Tell that the sender holds a configuration of that version."""
+
+    version: int
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Ask for pieces of a configuration, from ``first`` on."""
+
+    version: int
+    first: int
+
+
+class Piece(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Bring piece ``index`` of ``count``; ``checksum`` covers the whole."""
+
+    version: int
+    index: int
+    count: int
+    checksum: int
+    data: bytes
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -0,0 +1,306 @@
+"""Decide what an agent does with packets to and from its target."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .messages import (
+    Answer,
+    Ask,
+    Deliver,
+    Reason,
+    Returned,
+    Send,
+    Status,
+    TargetState,
+    ToCaller,
+    Told,
+    ToTarget,
+)
+from .requests import RequestLog
+from .routes import make_tag
+from .segment import Segment, belongs
+
+# Flows older than this may be discarded, so an agent that has run for as long has
+# seen each flow of its target. Unit: seconds. Source: the platform's bound on the age
+# of a flow (60 s), the default.
+MAX_FLOW_SECONDS = 60.0
+# How long an ended flow is remembered, for late copies of its packets. Unit: seconds.
+# Source: the longest interval of a repeat is 1.6 s.
+ENDED_SECONDS = 4.0
+# A target that has not been heard for so many heartbeats is taken for dead. Source:
+# two may be late together, three are not.
+MISSED_HEARTBEATS = 2.6
+
+Action = Send | ToTarget | ToCaller
+
+
+@dataclass(slots=True)
+class HeldFlow:
+    """Hold what an agent saw of a flow; times are in seconds."""
+
+    first: int | None
+    seen_at: float
+    caller_ended: bool = False
+    target_ended: bool = False
+    ended_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold a target's heartbeat; ``warm_left`` is in milliseconds."""
+
+    name: str
+    service: str
+    slots: int
+    draining: bool
+    warm_left: int
+    number: int
+
+
+class Agent:
+    """Own what one agent knows of its target and the target's flows."""
+
+    def __init__(
+        self,
+        service: str,
+        start: int,
+        heartbeat_seconds: float,
+        now: float,
+        tell: Callable[..., None] = lambda event, **fields: None,
+        max_flow_seconds: float = MAX_FLOW_SECONDS,
+    ) -> None:
+        self.service = service
+        self.start = start
+        self.state = TargetState.ABSENT
+        self.flows: dict[bytes, HeldFlow] = {}
+        self.requests = RequestLog(tell)
+        self.version = 0
+        self.returned = 0
+        self.delivered = 0
+        self._tag = make_tag(service)
+        self._tell = tell
+        self._number = 0
+        self._heartbeat = heartbeat_seconds
+        self._announced: Announcement | None = None
+        self._announced_at = now
+        self._former: set[str] = set()
+        self._warm_at = now
+        self._paused = False
+        self._knows_all_at = now + max_flow_seconds
+        self._max_flow = max_flow_seconds
+        self._sweep_at = now
+
+    # What the target says of itself.
+
+    def announce(self, found: Announcement, now: float) -> bool:
+        """Take a heartbeat; return whether the target's state changed."""
+        known = self._announced
+        if found.name in self._former:
+            return False
+        if known is not None and known.name == found.name:
+            if found.number < known.number:
+                return False
+        elif known is not None:
+            self._replace(known, now)
+        elif found.number <= 1:
+            # The target started after this agent: it has seen each of its flows.
+            self._knows_all_at = now
+        self._announced = found
+        self._announced_at = now
+        self._warm_at = now + found.warm_left / 1000
+        before = self.state
+        self.state = TargetState.DRAINING if found.draining else TargetState.OPEN
+        if before != self.state:
+            self._tell(
+                "target_state",
+                target=found.name,
+                service=found.service,
+                before=before.name,
+                state=self.state.name,
+                number=found.number,
+            )
+        return before != self.state
+
+    def leave(self, name: str) -> bool:
+        """Take a target's last word; return whether it is the present one's."""
+        self._former.add(name)
+        if self._announced is None or self._announced.name != name:
+            return False
+        self.state = TargetState.GONE
+        self._tell("target_left", target=name, flows=len(self.flows))
+        self._drop_flows()
+        return True
+
+    def pause(self) -> None:
+        """Tell from now on that this agent is about to restart."""
+        self._paused = True
+
+    def report(self, now: float) -> Status:
+        """Return the next status for the balancers."""
+        self._number += 1
+        found = self._announced
+        state = self.state
+        if self._paused and state in (TargetState.OPEN, TargetState.DRAINING):
+            state = TargetState.PAUSED
+        return Status(
+            self.start,
+            self._number,
+            self.service,
+            state,
+            found.slots if found else 1,
+            self.requests.active,
+            len(self.flows),
+            int(self.requests.mean_seconds * 1e6),
+            max(0, int(1000 * (self._warm_at - now))),
+            self.version,
+            self.knows_all(now),
+        )
+
+    def knows_all(self, now: float) -> bool:
+        """Tell whether this agent has seen each flow that its target holds."""
+        return now >= self._knows_all_at
+
+    def sweep(self, now: float) -> bool:
+        """Forget what is over; return whether the target was lost just now."""
+        if now >= self._sweep_at:
+            self._sweep_at = now + 1.0
+            self._forget(now)
+        limit = MISSED_HEARTBEATS * self._heartbeat
+        if self.state not in (TargetState.OPEN, TargetState.DRAINING):
+            return False
+        if now - self._announced_at < limit:
+            return False
+        self.state = TargetState.ABSENT
+        self._tell("target_silent", service=self.service, flows=len(self.flows))
+        return True
+
+    def lose(self) -> None:
+        """Take the target for dead: its flows are gone."""
+        self.state = TargetState.ABSENT
+        self._tell("target_lost", service=self.service, flows=len(self.flows))
+        self._drop_flows()
+
+    # What packets ask for.
+
+    def take(
+        self, origin: str, message: Deliver, segment: Segment, now: float
+    ) -> Action:
+        """Take a packet from the balancer at ``origin``."""
+        if message.tag != self._tag:
+            return self._return(origin, Reason.OTHER_SERVICE, segment)
+        if segment.opens and not segment.acknowledges:
+            return self._take_opening(origin, segment, now)
+        flow = self.flows.get(segment.key)
+        if flow is None:
+            if self.knows_all(now) or self.state == TargetState.GONE:
+                return self._return(origin, Reason.NOT_HELD, segment)
+            # This agent is younger than the flow may be: the target answers.
+            flow = self.flows[segment.key] = HeldFlow(None, now)
+        elif _is_foreign(flow, segment):
+            return self._return(origin, Reason.NOT_HELD, segment)
+        flow.seen_at = now
+        flow.caller_ended = flow.caller_ended or segment.finishes
+        self.requests.note_inward(segment, now)
+        self.delivered += 1
+        return ToTarget(origin, segment)
+
+    def take_outward(self, segment: Segment, now: float) -> Action:
+        """Take a packet that the target sent."""
+        if segment.returned:
+            return self._take_bounced(segment)
+        flow = self.flows.get(segment.key)
+        if flow is None:
+            flow = self.flows[segment.key] = HeldFlow(None, now)
+        if segment.opens:
+            flow.first = segment.sequence
+            flow.ended_at = 0.0
+        flow.seen_at = now
+        flow.target_ended = flow.target_ended or segment.finishes
+        if segment.resets:
+            flow.ended_at = now
+            self.requests.end(segment.key)
+        elif flow.target_ended and flow.caller_ended and not flow.ended_at:
+            flow.ended_at = now
+        self.requests.note_outward(segment, now)
+        return ToCaller(segment)
+
+    def tell(self, message: Ask, now: float) -> Told:
+        """Answer whether the target holds a flow."""
+        return Told(message.key, self._find_answer(message, now))
+
+    def _find_answer(self, message: Ask, now: float) -> Answer:
+        if message.tag != self._tag or self.state == TargetState.GONE:
+            return Answer.NOT_HELD
+        flow = self.flows.get(message.key)
+        if flow is not None and flow.first is not None:
+            fits = belongs(flow.first, message.acknowledgement)
+            return Answer.HELD if fits else Answer.NOT_HELD
+        if self.knows_all(now):
+            return Answer.NOT_HELD
+        return Answer.MAYBE
+
+    def _take_opening(self, origin: str, segment: Segment, now: float) -> Action:
+        if self.state != TargetState.OPEN or self._paused:
+            return self._return(origin, Reason.NOT_OPEN, segment)
+        flow = self.flows.get(segment.key)
+        if flow is None or flow.ended_at or flow.first is not None:
+            self.flows[segment.key] = HeldFlow(flow.first if flow else None, now)
+        self.delivered += 1
+        return ToTarget(origin, segment)
+
+    def _take_bounced(self, segment: Segment) -> Action:
+        flow = self.flows.get(segment.key)
+        if flow is not None and (flow.first is None or not segment.opens):
+            del self.flows[segment.key]
+            self.requests.end(segment.key)
+        origin = ".".join(str(part) for part in segment.origin)
+        return self._return(origin, Reason.BOUNCED, segment)
+
+    def _return(self, origin: str, reason: Reason, segment: Segment) -> Send:
+        self.returned += 1
+        self._tell(
+            "packet_sent_back",
+            flow=segment.key.hex(),
+            peer=origin,
+            reason=reason.name,
+            state=self.state.name,
+            opens=segment.opens,
+        )
+        return Send(origin, Returned(reason, segment.raw))
+
+    # What is forgotten.
+
+    def _replace(self, known: Announcement, now: float) -> None:
+        """Forget the flows of a target whose place another one took."""
+        self._former.add(known.name)
+        self._tell("target_replaced", target=known.name, flows=len(self.flows))
+        self._drop_flows()
+        self._knows_all_at = now
+
+    def _drop_flows(self) -> None:
+        self.flows.clear()
+        self.requests.clear()
+
+    def _forget(self, now: float) -> None:
+        over = [
+            key
+            for key, flow in self.flows.items()
+            if (flow.ended_at and now - flow.ended_at >= ENDED_SECONDS)
+            or now - flow.seen_at >= self._max_flow
+        ]
+        for key in over:
+            del self.flows[key]
+            self.requests.end(key)
+
+
+def _is_foreign(flow: HeldFlow, segment: Segment) -> bool:
+    """Tell whether the caller took the opening of another target.
+
+    Two targets answered copies of one opening packet; the caller's acknowledgement
+    names the one that it took.
+    """
+    return (
+        flow.first is not None
+        and segment.acknowledges
+        and not belongs(flow.first, segment.acknowledgement)
+    )
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -0,0 +1,361 @@
+"""Decide what a balancer does with each packet of a caller."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from .messages import Answer, Deliver, Reason, Reset, Returned, Send, Status
+from .placement import FORGET_SECONDS, Target, choose_target
+from .routes import RouteTable, choose_service, make_tag
+from .search import Search, start_search
+from .segment import Segment
+
+# How long a flow without packets is remembered. Unit: seconds. Source: twice the
+# longest pause after which a flow may be discarded (15 s); the agents know it anyway.
+FLOW_IDLE_SECONDS = 30.0
+MAX_FLOWS = 200_000
+# How many targets a new flow is offered before it is refused. Unit: targets. Source:
+# each costs the caller a round trip of some milliseconds; more than this are only
+# full together, when a refusal serves the caller better than another try.
+MAX_OFFERS = 6
+# How often a search is asked again. Unit: seconds. Source: many round trips, and
+# shorter than a caller's first repeat (200 ms).
+ASK_AGAIN_SECONDS = 0.06
+# How long silent agents are waited for. Unit: seconds. Source: a caller's packet
+# starts the next search anyway.
+SEARCH_SECONDS = 1.0
+MAX_SEARCHES = 20_000
+
+Action = Send | Reset
+
+
+@dataclass(slots=True)
+class Flow:
+    """Remember where a flow was placed; ``seen_at`` is in seconds."""
+
+    address: str
+    service: str
+    sequence: int
+    opening: bool
+    seen_at: float
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what happened since the start."""
+
+    placed: int = 0
+    refused: int = 0
+    searched: int = 0
+    found: int = 0
+    reset: int = 0
+    unroutable: int = 0
+    returned: int = 0
+
+
+class Balancer:
+    """Own the flows and targets that one balancer knows."""
+
+    def __init__(
+        self,
+        draw: Callable[[], float],
+        tell: Callable[..., None] = lambda event, **fields: None,
+    ) -> None:
+        self.routes = RouteTable()
+        self.targets: dict[str, Target] = {}
+        self.flows: dict[bytes, Flow] = {}
+        self.searches: dict[bytes, Search] = {}
+        self.counters = Counters()
+        self._draw = draw
+        self._tell = tell
+        self._by_service: dict[str, list[Target]] = {}
+        self._sweep_at = 0.0
+
+    # What the node learns.
+
+    def take_routes(self, routes: RouteTable) -> bool:
+        """Put a newer configuration in force; return whether it is newer."""
+        if routes.version <= self.routes.version:
+            return False
+        self.routes = routes
+        return True
+
+    def learn(self, address: str, status: Status, now: float) -> bool:
+        """Take an agent's word; return whether its target is new or changed state."""
+        known = self.targets.get(address)
+        if known is not None and _is_older(status, known.status):
+            return False
+        warm_at = now + status.warm_left / 1000
+        placed = [at for at in known.placed if now - at < 0.05] if known else []
+        self.targets[address] = Target(address, status, now, warm_at, placed)
+        changed = known is None or (known.status.state, known.status.service) != (
+            status.state,
+            status.service,
+        )
+        self._index()
+        if changed:
+            self._tell(
+                "target_learned",
+                peer=address,
+                service=status.service,
+                state=status.state,
+                slots=status.slots,
+            )
+        return changed
+
+    def sweep(self, now: float) -> list[Action]:
+        """Go on with searches and forget what is over; call some times a second."""
+        actions: list[Action] = []
+        for key, search in tuple(self.searches.items()):
+            actions += self._go_on(key, search, now)
+        if now >= self._sweep_at:
+            self._sweep_at = now + 1.0
+            self._forget(now)
+        return actions
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether this balancer could place a flow."""
+        return bool(self.routes.version) and any(
+            target.is_candidate(now) for target in self.targets.values()
+        )
+
+    # What packets ask for.
+
+    def take(self, segment: Segment, now: float) -> list[Action]:
+        """Take a caller's packet."""
+        flow = self.flows.get(segment.key)
+        if segment.opens and not segment.acknowledges:
+            return self._open(segment, flow, now)
+        if flow is not None:
+            return self._go_along(segment, flow, now)
+        return self._search(segment, frozenset(), now)
+
+    def take_returned(
+        self, address: str, message: Returned, segment: Segment, now: float
+    ) -> list[Action]:
+        """Take a packet that an agent could not hand over."""
+        self.counters.returned += 1
+        flow = self.flows.get(segment.key)
+        self._tell(
+            "packet_returned",
+            flow=segment.key.hex(),
+            peer=address,
+            reason=Reason(message.reason).name,
+            opens=segment.opens,
+        )
+        if segment.opens:
+            return self._offer_again(address, segment, flow, now)
+        if flow is not None and flow.address == address:
+            del self.flows[segment.key]
+        search = self.searches.get(segment.key)
+        if search is not None:
+            search.answers[address] = Answer.NOT_HELD
+            search.asked_first = ""
+            return self._go_on(segment.key, search, now)
+        return self._search(segment, frozenset((address,)), now)
+
+    def take_told(
+        self, address: str, key: bytes, answer: int, now: float
+    ) -> list[Action]:
+        """Take an agent's answer about a flow."""
+        search = self.searches.get(key)
+        if search is None:
+            return []
+        if search.answers.get(address) != Answer.NOT_HELD:
+            search.answers[address] = answer
+        return self._go_on(key, search, now)
+
+    # How a flow opens.
+
+    def _open(self, segment: Segment, flow: Flow | None, now: float) -> list[Action]:
+        route = self.routes.find(segment.place)
+        if route is None:
+            self.counters.unroutable += 1
+            return [Reset(segment, "no_route")]
+        if flow is not None and flow.sequence == segment.sequence and flow.opening:
+            target = self.targets.get(flow.address)
+            if target is not None and target.is_candidate(now):
+                flow.seen_at = now
+                return [self._deliver(flow.address, flow.service, segment)]
+        service = choose_service(route, segment.key)
+        return self._place(segment, service, frozenset(), now)
+
+    def _place(
+        self, segment: Segment, service: str, tried: frozenset[str], now: float
+    ) -> list[Action]:
+        targets = self._by_service.get(service, [])
+        target = None
+        if len(tried) < MAX_OFFERS:
+            target = choose_target(targets, tried, self._draw, now)
+        if target is None:
+            # Nobody can take it: the caller that is told at once can try again in
+            # time; one that is left waiting learns it only after 1.4 s.
+            self.counters.refused += 1
+            self.flows.pop(segment.key, None)
+            self._tell(
+                "flow_refused",
+                flow=segment.key.hex(),
+                service=service,
+                offered=len(tried),
+                targets=len(targets),
+            )
+            return [Reset(segment, "no_target")]
+        self.counters.placed += 1
+        target.placed.append(now)
+        self._tell(
+            "flow_placed",
+            flow=segment.key.hex(),
+            peer=target.address,
+            load=f"{target.estimate_load(now):.2f}",
+            age_ms=int(1000 * (now - target.heard_at)),
+            offered=len(tried),
+            candidates=len(targets),
+        )
+        self._remember(segment, target, True, tried, now)
+        return [self._deliver(target.address, service, segment)]
+
+    def _offer_again(
+        self, address: str, segment: Segment, flow: Flow | None, now: float
+    ) -> list[Action]:
+        if flow is not None and flow.address != address:
+            # A copy of the opening packet went elsewhere meanwhile.
+            return []
+        route = self.routes.find(segment.place)
+        if route is None:
+            return [Reset(segment, "no_route")]
+        service = choose_service(route, segment.key)
+        tried = (flow.tried if flow else frozenset()) | {address}
+        return self._place(segment, service, tried, now)
+
+    def _remember(
+        self,
+        segment: Segment,
+        target: Target,
+        opening: bool,
+        tried: frozenset[str],
+        now: float,
+    ) -> None:
+        if len(self.flows) >= MAX_FLOWS:
+            self.flows.pop(next(iter(self.flows)))
+        self.flows[segment.key] = Flow(
+            target.address,
+            target.status.service,
+            segment.sequence,
+            opening,
+            now,
+            tried,
+        )
+
+    # How a flow goes on.
+
+    def _go_along(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
+        flow.seen_at = now
+        flow.opening = False
+        target = self.targets.get(flow.address)
+        if target is not None and not target.is_lost(now):
+            return [self._deliver(flow.address, flow.service, segment)]
+        del self.flows[segment.key]
+        return self._search(segment, frozenset((flow.address,)), now)
+
+    def _deliver(self, address: str, service: str, segment: Segment) -> Send:
+        return Send(address, Deliver(make_tag(service), segment.raw))
+
+    def _search(
+        self, segment: Segment, excluded: frozenset[str], now: float
+    ) -> list[Action]:
+        """Ask the agents who holds a flow that this balancer does not know."""
+        if segment.resets:
+            return []
+        search = self.searches.get(segment.key)
+        if search is not None:
+            search.keep(segment)
+            return []
+        if len(self.searches) >= MAX_SEARCHES:
+            return []
+        self.counters.searched += 1
+        search = start_search(segment, self._list_holders(segment.key), excluded, now)
+        self.searches[segment.key] = search
+        return self._go_on(segment.key, search, now)
+
+    def _list_holders(self, key: bytes) -> list[Target]:
+        """Return all targets that may hold a flow, those of its service first.
+
+        A flow stays where it is when its route changes, so any service may hold it.
+        """
+        route = self.routes.find(key[6:])
+        likely = {share.service for share in route.shares} if route else set()
+        targets = list(self.targets.values())
+        return sorted(targets, key=lambda found: found.status.service not in likely)
+
+    def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
+        holder = search.find_holder()
+        if holder is not None:
+            return self._settle(key, search, holder, now)
+        asked = search.ask(now, ASK_AGAIN_SECONDS)
+        if asked:
+            return [*asked]
+        if not search.is_over(self.targets, now):
+            if now >= search.started_at + SEARCH_SECONDS:
+                del self.searches[key]
+                self._tell("flow_not_found", flow=key.hex(), silent=search.silent())
+            return []
+        del self.searches[key]
+        self.counters.reset += 1
+        self._tell("flow_reset", flow=key.hex(), reason="held_by_nobody")
+        return [Reset(search.last, "held_by_nobody")]
+
+    def _settle(
+        self, key: bytes, search: Search, holder: str, now: float
+    ) -> list[Action]:
+        target = self.targets.get(holder)
+        if target is None:
+            search.answers[holder] = Answer.NOT_HELD
+            return []
+        if search.answers[holder] == Answer.MAYBE:
+            if search.asked_first == holder:
+                return []
+            # Its agent began after the flow: only the target can tell. One packet
+            # goes there, and comes back when the target does not hold the flow.
+            search.asked_first = holder
+        del self.searches[key]
+        self.counters.found += 1
+        self._tell("flow_found", flow=key.hex(), peer=holder)
+        self._remember(search.last, target, False, frozenset(), now)
+        service = target.status.service
+        return [self._deliver(holder, service, held) for held in search.held]
+
+    # What is forgotten.
+
+    def _forget(self, now: float) -> None:
+        silent = [
+            address
+            for address, target in self.targets.items()
+            if now - target.heard_at >= FORGET_SECONDS
+        ]
+        for address in silent:
+            self._tell("target_forgotten", peer=address)
+            del self.targets[address]
+        if silent:
+            self._index()
+        idle = [
+            key
+            for key, flow in self.flows.items()
+            if now - flow.seen_at >= FLOW_IDLE_SECONDS
+        ]
+        for key in idle:
+            del self.flows[key]
+
+    def _index(self) -> None:
+        found: dict[str, list[Target]] = {}
+        for target in self.targets.values():
+            found.setdefault(target.status.service, []).append(target)
+        self._by_service = found
+
+
+def list_services(targets: Iterable[Target]) -> set[str]:
+    """Return the services that the targets serve."""
+    return {target.status.service for target in targets}
+
+
+def _is_older(status: Status, known: Status) -> bool:
+    return (status.start, status.number) <= (known.start, known.number)
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -0,0 +1,116 @@
+"""Name what balancers and agents tell each other, and what they ask of their tasks."""
+
+from enum import IntEnum
+
+import msgspec
+
+from .segment import Segment
+
+
+class TargetState(IntEnum):
+    """Tell what a target's agent says of it.
+
+    ABSENT: the agent has not heard its target since it started, or no longer.
+    PAUSED: the agent is restarting; the target and its flows live on.
+    """
+
+    OPEN = 0
+    DRAINING = 1
+    GONE = 2
+    ABSENT = 3
+    PAUSED = 4
+
+
+class Answer(IntEnum):
+    """Tell whether a target holds a flow; MAYBE: its agent started after it."""
+
+    HELD = 0
+    NOT_HELD = 1
+    MAYBE = 2
+
+
+class Reason(IntEnum):
+    """Tell why an agent sent a packet back."""
+
+    BOUNCED = 0
+    NOT_HELD = 1
+    NOT_OPEN = 2
+    OTHER_SERVICE = 3
+    FULL = 4
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """Tell balancers about one target.
+
+    ``start`` and ``number`` order the statuses of one address: ``start`` is the
+    agent's start in milliseconds of the control hosts' count, drawn once, ``number``
+    grows. ``warm_left`` is in milliseconds, counted from the sending.
+    """
+
+    start: int
+    number: int
+    service: str
+    state: int
+    slots: int
+    active: int
+    flows: int
+    service_us: int
+    warm_left: int
+    version: int
+    knows_all: bool
+
+
+class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """Ask an agent to hand a packet to its target, of the service ``tag``."""
+
+    tag: int
+    packet: bytes
+
+
+class Returned(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Send a packet back to the balancer it came from."""
+
+    reason: int
+    packet: bytes
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """Ask an agent whether its target holds a flow."""
+
+    tag: int
+    key: bytes
+    acknowledgement: int
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """Answer Ask."""
+
+    key: bytes
+    answer: int
+
+
+class Reset(msgspec.Struct, frozen=True):
+    """Ask the task to reset the flow of a caller's segment."""
+
+    segment: Segment
+    reason: str
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Ask the task to send a message to the node at ``peer``, an IPv4 address."""
+
+    peer: str
+    message: Deliver | Returned | Ask | Told | Status
+
+
+class ToTarget(msgspec.Struct, frozen=True):
+    """Ask the task to hand a packet to the target, marked with its origin."""
+
+    origin: str
+    segment: Segment
+
+
+class ToCaller(msgspec.Struct, frozen=True):
+    """Ask the task to send a packet to the caller."""
+
+    segment: Segment
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -0,0 +1,78 @@
+"""Choose the target of a new flow from what agents told of their loads."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from .messages import Status, TargetState
+
+# A target whose agent was silent this long gets new flows only when there is nobody
+# else. Unit: seconds. Source: three statuses in a row lost (STATUS_SECONDS 0.4).
+SILENT_SECONDS = 1.3
+# A target whose agent was silent this long and said nothing of a pause is lost.
+# Unit: seconds. Source: four statuses in a row; loss of four in a row at 10% is 1e-4.
+LOST_SECONDS = 1.7
+# How long a pause that was announced may last, the stop and the start of an agent.
+# Unit: seconds. Source: a stop takes at most 6 s, a start 1-2 s.
+PAUSE_SECONDS = 9.0
+# How long a silent agent is remembered at all, for flows that it may still hold.
+# Unit: seconds. Source: above the longest cut seen (8 s).
+FORGET_SECONDS = 20.0
+# What an open flow without a request adds to a target's load, in requests. Unit:
+# requests a flow. Source: a long flow is idle for about nine tenths of its time.
+IDLE_FLOW_LOAD = 0.1
+# Factor on the load of a target that is still cold. Source: twice as slow at most.
+COLD_FACTOR = 1.8
+
+
+@dataclass(slots=True)
+class Target:
+    """Hold what a balancer knows of one target; times are seconds of its clock."""
+
+    address: str
+    status: Status
+    heard_at: float
+    warm_at: float
+    placed: list[float] = field(default_factory=list)
+
+    def is_candidate(self, now: float) -> bool:
+        """Tell whether new flows may go there."""
+        return self.status.state == TargetState.OPEN and not self.is_silent(now)
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether its agent has missed its statuses."""
+        return now - self.heard_at >= SILENT_SECONDS
+
+    def is_lost(self, now: float) -> bool:
+        """Tell whether its agent can be taken for dead, and its flows with it."""
+        paused = self.status.state == TargetState.PAUSED
+        limit = PAUSE_SECONDS if paused else LOST_SECONDS
+        return now - self.heard_at >= limit
+
+    def estimate_load(self, now: float) -> float:
+        """Return the requests per slot, with the flows placed since the last word."""
+        status = self.status
+        placed = sum(1 for at in self.placed if at > self.heard_at)
+        load = status.active + placed + IDLE_FLOW_LOAD * status.flows
+        factor = COLD_FACTOR if now < self.warm_at else 1.0
+        return factor * (load + 1) / max(1, status.slots)
+
+
+def choose_target(
+    targets: Iterable[Target],
+    tried: frozenset[str],
+    draw: Callable[[], float],
+    now: float,
+) -> Target | None:
+    """Return the least loaded target that has not refused this flow, or None.
+
+    Ties are broken at random: balancers that hear the same statuses would else all
+    choose the same target until the next ones.
+    """
+    fresh = [
+        (target.estimate_load(now), draw(), target)
+        for target in targets
+        if target.address not in tried and target.is_candidate(now)
+    ]
+    if not fresh:
+        return None
+    return min(fresh, key=lambda found: found[:2])[2]
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -0,0 +1,105 @@
+"""Follow the requests inside the flows of one target, as far as packets show them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .segment import SEQUENCE_SPACE, Segment
+
+RESPONSE_MARK = b"HTTP/1.1 "
+REQUEST_ID_MARK = b"\r\nX-Request-Id: "
+# Weight of the newest request in the mean time of service. No unit. Source: the mean
+# of about the last ten.
+MEAN_WEIGHT = 0.1
+HALF_SPACE = SEQUENCE_SPACE // 2
+
+
+@dataclass(slots=True)
+class Exchange:
+    """Hold the request that is in progress in one flow; times are in seconds."""
+
+    next_inward: int | None = None
+    started_at: float = 0.0
+    active: bool = False
+    name: str = ""
+
+
+class RequestLog:
+    """Count the requests at work or waiting in one target."""
+
+    def __init__(self, tell: Callable[..., None]) -> None:
+        self.active = 0
+        self.finished = 0
+        self.mean_seconds = 0.0
+        self._tell = tell
+        self._exchanges: dict[bytes, Exchange] = {}
+
+    def note_inward(self, segment: Segment, now: float) -> None:
+        """Take a packet towards the target; new data begin a request."""
+        if not segment.data:
+            return
+        exchange = self._exchanges.get(segment.key)
+        if exchange is None:
+            exchange = self._exchanges[segment.key] = Exchange()
+        end = (segment.sequence + len(segment.data)) % SEQUENCE_SPACE
+        known = exchange.next_inward
+        if known is not None and (end - known) % SEQUENCE_SPACE - 1 >= HALF_SPACE:
+            # A packet sent again; the request it belongs to was counted.
+            return
+        if known == end:
+            return
+        exchange.next_inward = end
+        if exchange.active:
+            return
+        exchange.active = True
+        exchange.started_at = now
+        exchange.name = find_request_id(segment.data)
+        self.active += 1
+        self._tell(
+            "request_started",
+            request=exchange.name,
+            flow=segment.key.hex(),
+            active=self.active,
+        )
+
+    def note_outward(self, segment: Segment, now: float) -> None:
+        """Take a packet of the target; an answer's first one ends the wait."""
+        if not segment.data.startswith(RESPONSE_MARK):
+            return
+        exchange = self._exchanges.get(segment.key)
+        if exchange is None or not exchange.active:
+            return
+        exchange.active = False
+        self.active -= 1
+        self.finished += 1
+        taken = now - exchange.started_at
+        if self.mean_seconds:
+            self.mean_seconds += MEAN_WEIGHT * (taken - self.mean_seconds)
+        else:
+            self.mean_seconds = taken
+        self._tell(
+            "request_answered",
+            request=exchange.name,
+            flow=segment.key.hex(),
+            status=segment.data[9:12].decode("ascii", "replace"),
+            took_ms=int(1000 * taken),
+            active=self.active,
+        )
+
+    def end(self, key: bytes) -> None:
+        """Forget a flow."""
+        exchange = self._exchanges.pop(key, None)
+        if exchange is not None and exchange.active:
+            self.active -= 1
+
+    def clear(self) -> None:
+        """Forget all flows."""
+        self._exchanges.clear()
+        self.active = 0
+
+
+def find_request_id(data: bytes) -> str:
+    """Return the id that a request's first packet carries, or nothing."""
+    _, found, rest = data.partition(REQUEST_ID_MARK)
+    if not found:
+        return ""
+    return rest.partition(b"\r")[0].decode("ascii", "replace")
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/routes.py
@@ -0,0 +1,62 @@
+"""Hold the routes of one configuration: which services take new flows of a place."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from zlib import crc32
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Give a service a part of a route's new flows; ``weight`` has no unit."""
+
+    service: str
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe what callers reach at one address and port.
+
+    ``timeout`` and ``objective`` are milliseconds; ``priority`` 0 goes first.
+    """
+
+    name: str
+    shares: tuple[Share, ...]
+    timeout: int
+    objective: int
+    priority: int
+    repeatable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Hold all routes of one version, by place (address and port, six bytes)."""
+
+    version: int = 0
+    routes: Mapping[bytes, Route] = field(default_factory=dict)
+
+    def find(self, place: bytes) -> Route | None:
+        """Return the route of a place, or None."""
+        return self.routes.get(place)
+
+
+def choose_service(route: Route, key: bytes) -> str:
+    """Return the service of a new flow; every balancer chooses the same one."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = crc32(key) % total
+    for share in route.shares:
+        if point < share.weight:
+            return share.service
+        point -= share.weight
+    return route.shares[-1].service
+
+
+def make_tag(service: str) -> int:
+    """Return the number that stands for a service between nodes.
+
+    An address is used again by a target of another service; without the tag a packet
+    for the old one would run there.
+    """
+    return crc32(service.encode())
--- a/ibisshunt/helpers/logging.py
+++ b/ibisshunt/helpers/logging.py
@@ -28,3 +28,13 @@
     if text and not any(mark in text for mark in ' "=\n\t'):
         return text
     return json.dumps(text)
+
+
+def send_to_stdout() -> None:
+    """Write the lines to standard output from now on."""
+    import sys
+
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stdout
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
--- /dev/null
+++ b/ibisshunt/model/node.py
@@ -0,0 +1,35 @@
+"""Describe the settings that balancers, agents and control hosts of a fleet share."""
+
+from dataclasses import dataclass
+
+from .address import Address
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Hold what a process is told at its start.
+
+    ``inner`` is where other nodes send datagrams, ``inner_calls`` where control hosts
+    call each other. ``seeds`` are IPv4 addresses of control hosts. ``is_first_start``
+    tells whether a control host with an empty disk may found the cluster.
+    ``losses`` is how many control hosts may be lost at once. ``heartbeat`` is how
+    often a target speaks, ``max_flow`` how long a flow lives, both in seconds.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    inner: Address
+    inner_calls: Address
+    seeds: tuple[str, ...]
+    is_first_start: bool
+    losses: int
+    heartbeat: float
+    max_flow: float
+    packets: Address | None = None
+    outward: Address | None = None
+    ready: Address | None = None
+    control: Address | None = None
+    target: Address | None = None
+    service: str = ""
+    data_folder: str = ""
--- /dev/null
+++ b/ibisshunt/platform/__main__.py
@@ -0,0 +1,48 @@
+"""Run one program: ``python3 -m ibisshunt.platform balancer|agent|control``."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+import sys
+
+import gevent
+
+from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
+from ..core import Kernel
+from ..exceptions import IbisshuntError, SettingsError
+from ..helpers.logging import log_event, send_to_stdout
+from .programs import PROGRAMS
+from .settings import find_path, read_settings
+
+
+def main(arguments: list[str]) -> int:
+    """Run the program that is named until it is asked to stop."""
+    if len(arguments) != 1 or arguments[0] not in PROGRAMS:
+        print(f"expected one of: {' '.join(PROGRAMS)}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    send_to_stdout()
+    kernel = Kernel()
+    gevent.signal_handler(signal.SIGTERM, kernel.request_stop)
+    gevent.signal_handler(signal.SIGINT, kernel.request_stop)
+    try:
+        settings = read_settings(find_path())
+        PROGRAMS[arguments[0]](kernel, settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    except (IbisshuntError, OSError) as error:
+        print(f"{arguments[0]}: {error}", file=sys.stderr)
+        kernel.stop()
+        return EXIT_FAILURE
+    log_event("started", program=arguments[0], node=settings.name)
+    kernel.wait_for_stop()
+    log_event("stopping", program=arguments[0])
+    kernel.stop()
+    log_event("stopped", program=arguments[0])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/ibisshunt/platform/programs.py
@@ -0,0 +1,105 @@
+"""Assemble the three programs from the product's components."""
+
+import gevent
+
+from ..components.directory.inner import InnerSocket
+from ..components.directory.node import NodeDirectory
+from ..components.forwarding.web import serve
+from ..coordination.directory.messages import NodeRole
+from ..core import Kernel
+from ..helpers.logging import warn_event
+from ..model.node import NodeSettings
+from .configuration import read_configuration
+from .packet import CODEC
+
+# How long a balancer that stops goes on forwarding. Unit: seconds. Source: the
+# routers ask twice a second and leave a node out after two misses.
+LEAVE_SECONDS = 2.2
+
+
+def set_up_balancer(kernel: Kernel, settings: NodeSettings) -> None:
+    """Start a balancer."""
+    from ..components.forwarding.balancer import BalancerTask
+    from .calls import answer_probe
+
+    inner = InnerSocket(settings.inner)
+    task = BalancerTask(settings, CODEC, inner)
+
+    def take(body: bytes) -> int | None:
+        found = read_configuration(body)
+        if fault := found.swap().value_or(None):
+            warn_event("configuration_refused", reason=fault.reason)
+            return None
+        task.take_routes(found.unwrap())
+        return found.unwrap().version
+
+    directory = NodeDirectory(inner, NodeRole.BALANCER, settings.seeds, take, task.meet)
+
+    def is_ready() -> bool:
+        return not kernel.is_stopping() and task.is_usable()
+
+    server = serve(settings.ready, answer_probe(is_ready))
+
+    def unload() -> None:
+        gevent.sleep(LEAVE_SECONDS)
+        server.stop(timeout=0)
+
+    kernel.spawn("inner", inner.run)
+    kernel.spawn("directory", directory.run)
+    kernel.spawn("packets", task.run)
+    kernel.spawn("sweep", task.run_sweep)
+    kernel.register("directory", directory, dump=directory.dump)
+    kernel.register("balancer", task, unload=unload, dump=task.dump)
+
+
+def set_up_agent(kernel: Kernel, settings: NodeSettings) -> None:
+    """Start an agent."""
+    from ..components.forwarding.agent import AgentTask
+    from .calls import answer_endpoint
+
+    inner = InnerSocket(settings.inner)
+    directory: NodeDirectory
+    task = AgentTask(settings, CODEC, inner, lambda: directory.contacts.list_nodes())
+
+    def take(body: bytes) -> int | None:
+        found = read_configuration(body)
+        version = found.map(lambda routes: routes.version).value_or(None)
+        task.agent.version = version or task.agent.version
+        return version
+
+    directory = NodeDirectory(inner, NodeRole.AGENT, settings.seeds, take, task.meet)
+    kernel.spawn("inner", inner.run)
+    kernel.spawn("directory", directory.run)
+    kernel.spawn("outward", task.run)
+    kernel.spawn("status", task.run_status)
+    kernel.register("directory", directory, dump=directory.dump)
+    server = serve(settings.control, answer_endpoint(task))
+
+    def unload() -> None:
+        task.stop()
+        server.stop(timeout=0)
+
+    kernel.register("agent", task, unload=unload, dump=task.dump)
+
+
+def set_up_control(kernel: Kernel, settings: NodeSettings) -> None:
+    """Start a control host."""
+    from ..components import versions
+    from ..components.directory.control import ControlDirectory
+    from .calls import answer_operator
+
+    service = versions.setup(kernel, settings)
+    inner = InnerSocket(settings.inner)
+    directory = ControlDirectory(inner, service.store, service.list_control)
+    kernel.spawn("inner", inner.run)
+    kernel.spawn("directory", directory.run)
+    kernel.register("directory", directory, dump=directory.dump)
+    server = serve(settings.control, answer_operator(service))
+    kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
+
+
+PROGRAMS = {
+    "balancer": set_up_balancer,
+    "agent": set_up_agent,
+    "control": set_up_control,
+}
--- /dev/null
+++ b/ibisshunt/platform/settings.py
@@ -0,0 +1,102 @@
+"""Read the settings file that the platform writes for a process."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..exceptions import Fault, SettingsError
+from ..model.address import Address, parse_address
+from ..model.node import NodeSettings
+
+PATH_VARIABLE = "IBISSHUNT_NODE_FILE"
+
+
+class _File(msgspec.Struct, rename="pascal"):
+    """Hold what we read of the file; unknown fields are left out.
+
+    ``bootstrap`` is true at the very first start of the whole system alone, and
+    ``seeds`` are control addresses at the time of writing.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_port_range: tuple[int, int]
+    seeds: tuple[str, ...]
+    listen_addrs: dict[str, str]
+    bootstrap: bool = False
+    heartbeat_ms: int = 1000
+    fault_tolerance: dict[str, int] = {}
+    bounds: dict[str, Any] = {}
+    data_dir: str = ""
+    service: str = ""
+    app: str = msgspec.field(name="app", default="")
+
+
+def find_path() -> Path:
+    """Return where the settings file lies; raise SettingsError when none is named."""
+    found = os.environ.get(PATH_VARIABLE)
+    if not found:
+        reason = "the variable is not set, expected the path of the settings file"
+        raise SettingsError(Fault("find settings", PATH_VARIABLE, reason))
+    return Path(found)
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Return the settings; raise SettingsError with the field and what is expected."""
+    try:
+        found = tomllib.loads(path.read_text())
+        file = msgspec.convert(found, _File)
+    except OSError as error:
+        raise _explain(path, error.strerror or str(error)) from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise _explain(path, str(error)) from error
+    return _translate(path, file)
+
+
+def _translate(path: Path, file: _File) -> NodeSettings:
+    low, high = file.internal_port_range
+    if high <= low:
+        reason = f"InternalPortRange: found {low}-{high}, expected two ports or more"
+        raise _explain(path, reason)
+    listen = file.listen_addrs
+    seeds = [_parse(path, "Seeds", seed) for seed in file.seeds]
+    app = {"app": file.app} if file.app else {}
+    return NodeSettings(
+        name=file.node_name,
+        address=file.ip,
+        failure_domain=file.zone,
+        inner=Address(file.ip, low),
+        inner_calls=Address(file.ip, low + 1),
+        seeds=tuple(seed.ip for seed in seeds if seed is not None),
+        is_first_start=file.bootstrap,
+        losses=file.fault_tolerance.get("Machines", 0),
+        heartbeat=file.heartbeat_ms / 1000,
+        max_flow=float(file.bounds.get("MaxFlowS", 60)),
+        packets=_find(path, "UdpAddr", listen),
+        outward=_find(path, "outbound", listen),
+        ready=_find(path, "ReadyAddr", listen),
+        control=_find(path, "Control", listen),
+        target=_find(path, "app", app),
+        service=file.service,
+        data_folder=file.data_dir,
+    )
+
+
+def _find(path: Path, name: str, listen: Mapping[str, str]) -> Address | None:
+    return _parse(path, name, listen[name]) if name in listen else None
+
+
+def _parse(path: Path, field: str, text: str) -> Address:
+    result = parse_address(text)
+    if fault := result.swap().value_or(None):
+        raise _explain(path, f"{field}: {fault.reason}")
+    return result.unwrap()
+
+
+def _explain(path: Path, reason: str) -> SettingsError:
+    return SettingsError(Fault("read settings", str(path), reason))
--- a/ibisshunt/protocol/consensus.py
+++ b/ibisshunt/protocol/consensus.py
@@ -8,7 +8,7 @@
 from ..coordination.consensus.messages import Envelope
 from ..exceptions import Fault
 from .codec import decode, encode
-from .rpc import Method
+from .method import Method
 
 ACCEPTED = "accepted"
 NOT_ACCEPTED = "not_accepted"
@@ -70,11 +70,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HelloReply:
-    """Introduce the host that answers."""
+    """Introduce the host that answers; ``leader`` is where the leader serves."""
 
     host: str
     cluster: str
     names: tuple[str, ...]
+    leader: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisshunt/protocol/messages.py
+++ b/ibisshunt/protocol/messages.py
@@ -5,7 +5,7 @@
 from ..model.configuration import ConfigurationUpdate
 from ..model.record import RecordKind
 from ..model.target import Announcement
-from .rpc import Method
+from .method import Method
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisshunt/protocol/records.py
+++ b/ibisshunt/protocol/records.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..coordination.records.history import Entry
-from .rpc import Method
+from .method import Method
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisshunt/protocol/requests.py
+++ b/ibisshunt/protocol/requests.py
@@ -12,7 +12,7 @@
     Settle,
 )
 from ..coordination.requests.sharing import Load
-from .rpc import Method
+from .method import Method
 
 
 class Outcome(StrEnum):
--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from typing import Any
 
 import grpc
@@ -12,8 +11,8 @@
 from ..exceptions import Fault, RpcError
 from ..model.address import Address
 from .codec import encode
+from .method import SERVICE_NAME, Method
 
-SERVICE_NAME = "ibisshunt.v1"
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
     ("grpc.max_send_message_length", 64 * 1024 * 1024),
@@ -27,21 +26,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Method:
-    """Name a method and the types of its request and reply."""
-
-    name: str
-    request: Any
-    reply: Any
-    streaming: bool = False
-
-    @property
-    def path(self) -> str:
-        """Return the path that gRPC uses."""
-        return f"/{SERVICE_NAME}/{self.name}"
-
-
 class Channel:
     """Hold one connection to another process."""
 
