--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -93,7 +93,10 @@
         in_touch = self.is_in_touch()
         if in_touch != self._in_touch:
             self._in_touch = in_touch
-            log_event("control_in_touch" if in_touch else "control_out_of_touch")
+            if in_touch:
+                log_event("control_in_touch", version=self.version)
+            else:
+                warn_event("control_out_of_touch", version=self.version)
         pause = HELLO_SECONDS if in_touch else FIRST_HELLO_SECONDS
         # Spread: all nodes of a fleet start within a moment and would else speak in
         # the same one for ever.
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -45,7 +45,7 @@
             int(now * 1000),
             settings.heartbeat,
             now,
-            self.log.tell,
+            self.log.tell_event,
             settings.max_flow,
         )
         self.unreadable = 0
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -114,11 +114,13 @@
                 self._reset(action)
 
     def _reset(self, action: Reset) -> None:
-        self.log.tell("reset_sent", flow=action.segment.key.hex(), reason=action.reason)
+        self.log.tell_event(
+            "reset_sent", flow=action.segment.key.hex(), reason=action.reason
+        )
         packet = self._codec.make_reset(action.segment)
         caller = self._codec.find_caller(action.segment)
         try:
             self._socket.send_to(packet, (caller, self._port))
         except OSError as error:
             # The caller repeats its packet and is answered then.
-            self.log.tell("reset_unsent", peer=caller, error=error)
+            self.log.tell_event("reset_unsent", peer=caller, error=error)
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -18,7 +18,7 @@
 )
 from .requests import RequestLog
 from .routes import make_tag
-from .segment import Segment, belongs
+from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
 
 # Flows older than this may be discarded, so an agent that has run for as long has
 # seen each flow of its target. Unit: seconds. Source: the platform's bound on the age
@@ -36,10 +36,15 @@
 
 @dataclass(slots=True)
 class HeldFlow:
-    """Hold what an agent saw of a flow; times are in seconds."""
+    """Hold what an agent saw of a flow; times are in seconds.
+
+    ``first`` and ``last`` are the ends of the numbers that the target has sent, None
+    when its opening was not seen.
+    """
 
     first: int | None
     seen_at: float
+    last: int = 0
     caller_ended: bool = False
     target_ended: bool = False
     ended_at: float = 0.0
@@ -78,7 +83,7 @@
         self.returned = 0
         self.delivered = 0
         self._tag = make_tag(service)
-        self._tell = tell
+        self._tell_event = tell
         self._number = 0
         self._heartbeat = heartbeat_seconds
         self._announced: Announcement | None = None
@@ -111,7 +116,7 @@
         before = self.state
         self.state = TargetState.DRAINING if found.draining else TargetState.OPEN
         if before != self.state:
-            self._tell(
+            self._tell_event(
                 "target_state",
                 target=found.name,
                 service=found.service,
@@ -127,7 +132,7 @@
         if self._announced is None or self._announced.name != name:
             return False
         self.state = TargetState.GONE
-        self._tell("target_left", target=name, flows=len(self.flows))
+        self._tell_event("target_left", target=name, flows=len(self.flows))
         self._drop_flows()
         return True
 
@@ -171,13 +176,13 @@
         if now - self._announced_at < limit:
             return False
         self.state = TargetState.ABSENT
-        self._tell("target_silent", service=self.service, flows=len(self.flows))
+        self._tell_event("target_silent", service=self.service, flows=len(self.flows))
         return True
 
     def lose(self) -> None:
         """Take the target for dead: its flows are gone."""
         self.state = TargetState.ABSENT
-        self._tell("target_lost", service=self.service, flows=len(self.flows))
+        self._tell_event("target_lost", service=self.service, flows=len(self.flows))
         self._drop_flows()
 
     # What packets ask for.
@@ -212,9 +217,12 @@
         if flow is None:
             flow = self.flows[segment.key] = HeldFlow(None, now)
         if segment.opens:
-            flow.first = segment.sequence
+            flow.first = flow.last = segment.sequence
             flow.ended_at = 0.0
         flow.seen_at = now
+        end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
+        if is_later(end, flow.last):
+            flow.last = end % SEQUENCE_SPACE
         flow.target_ended = flow.target_ended or segment.finishes
         if segment.resets:
             flow.ended_at = now
@@ -233,7 +241,7 @@
             return Answer.NOT_HELD
         flow = self.flows.get(message.key)
         if flow is not None and flow.first is not None:
-            fits = belongs(flow.first, message.acknowledgement)
+            fits = lies_between(flow.first, message.acknowledgement, flow.last)
             return Answer.HELD if fits else Answer.NOT_HELD
         if self.knows_all(now):
             return Answer.NOT_HELD
@@ -258,7 +266,7 @@
 
     def _return(self, origin: str, reason: Reason, segment: Segment) -> Send:
         self.returned += 1
-        self._tell(
+        self._tell_event(
             "packet_sent_back",
             flow=segment.key.hex(),
             peer=origin,
@@ -273,7 +281,7 @@
     def _replace(self, known: Announcement, now: float) -> None:
         """Forget the flows of a target whose place another one took."""
         self._former.add(known.name)
-        self._tell("target_replaced", target=known.name, flows=len(self.flows))
+        self._tell_event("target_replaced", target=known.name, flows=len(self.flows))
         self._drop_flows()
         self._knows_all_at = now
 
@@ -302,5 +310,5 @@
     return (
         flow.first is not None
         and segment.acknowledges
-        and not belongs(flow.first, segment.acknowledgement)
+        and not lies_between(flow.first, segment.acknowledgement, flow.last)
     )
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -24,6 +24,9 @@
 # starts the next search anyway.
 SEARCH_SECONDS = 1.0
 MAX_SEARCHES = 20_000
+# How late a status may be. Unit: seconds. Source: links between hosts take some
+# milliseconds; statuses come every 0.4 s.
+LATE_SECONDS = 0.35
 
 Action = Send | Reset
 
@@ -67,7 +70,7 @@
         self.searches: dict[bytes, Search] = {}
         self.counters = Counters()
         self._draw = draw
-        self._tell = tell
+        self._tell_event = tell
         self._by_service: dict[str, list[Target]] = {}
         self._sweep_at = 0.0
 
@@ -83,7 +86,7 @@
     def learn(self, address: str, status: Status, now: float) -> bool:
         """Take an agent's word; return whether its target is new or changed state."""
         known = self.targets.get(address)
-        if known is not None and _is_older(status, known.status):
+        if known is not None and _is_older(status, known, now):
             return False
         warm_at = now + status.warm_left / 1000
         placed = [at for at in known.placed if now - at < 0.05] if known else []
@@ -94,7 +97,7 @@
         )
         self._index()
         if changed:
-            self._tell(
+            self._tell_event(
                 "target_learned",
                 peer=address,
                 service=status.service,
@@ -136,7 +139,7 @@
         """Take a packet that an agent could not hand over."""
         self.counters.returned += 1
         flow = self.flows.get(segment.key)
-        self._tell(
+        self._tell_event(
             "packet_returned",
             flow=segment.key.hex(),
             peer=address,
@@ -150,7 +153,9 @@
         search = self.searches.get(segment.key)
         if search is not None:
             search.answers[address] = Answer.NOT_HELD
-            search.asked_first = ""
+            if search.tried == address:
+                search.tried = ""
+                search.held.insert(0, segment)
             return self._go_on(segment.key, search, now)
         return self._search(segment, frozenset((address,)), now)
 
@@ -192,7 +197,7 @@
             # time; one that is left waiting learns it only after 1.4 s.
             self.counters.refused += 1
             self.flows.pop(segment.key, None)
-            self._tell(
+            self._tell_event(
                 "flow_refused",
                 flow=segment.key.hex(),
                 service=service,
@@ -202,7 +207,7 @@
             return [Reset(segment, "no_target")]
         self.counters.placed += 1
         target.placed.append(now)
-        self._tell(
+        self._tell_event(
             "flow_placed",
             flow=segment.key.hex(),
             peer=target.address,
@@ -288,8 +293,10 @@
         return sorted(targets, key=lambda found: found.status.service not in likely)
 
     def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
-        holder = search.find_holder()
-        if holder is not None:
+        if search.tried and now < search.tried_at + ASK_AGAIN_SECONDS:
+            return []
+        holder = search.tried or search.find_holder()
+        if holder:
             return self._settle(key, search, holder, now)
         asked = search.ask(now, ASK_AGAIN_SECONDS)
         if asked:
@@ -297,11 +304,13 @@
         if not search.is_over(self.targets, now):
             if now >= search.started_at + SEARCH_SECONDS:
                 del self.searches[key]
-                self._tell("flow_not_found", flow=key.hex(), silent=search.silent())
+                self._tell_event(
+                    "flow_not_found", flow=key.hex(), silent=search.silent()
+                )
             return []
         del self.searches[key]
         self.counters.reset += 1
-        self._tell("flow_reset", flow=key.hex(), reason="held_by_nobody")
+        self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
 
     def _settle(
@@ -310,18 +319,19 @@
         target = self.targets.get(holder)
         if target is None:
             search.answers[holder] = Answer.NOT_HELD
+            search.tried = ""
             return []
-        if search.answers[holder] == Answer.MAYBE:
-            if search.asked_first == holder:
-                return []
+        service = target.status.service
+        if search.answers[holder] == Answer.MAYBE and search.tried != holder:
             # Its agent began after the flow: only the target can tell. One packet
-            # goes there, and comes back when the target does not hold the flow.
-            search.asked_first = holder
+            # goes there, and comes back when the target does not hold the flow; the
+            # rest follows when it does not come back.
+            search.tried, search.tried_at = holder, now
+            return [self._deliver(holder, service, search.held.pop(0))]
         del self.searches[key]
         self.counters.found += 1
-        self._tell("flow_found", flow=key.hex(), peer=holder)
+        self._tell_event("flow_found", flow=key.hex(), peer=holder)
         self._remember(search.last, target, False, frozenset(), now)
-        service = target.status.service
         return [self._deliver(holder, service, held) for held in search.held]
 
     # What is forgotten.
@@ -333,7 +343,7 @@
             if now - target.heard_at >= FORGET_SECONDS
         ]
         for address in silent:
-            self._tell("target_forgotten", peer=address)
+            self._tell_event("target_forgotten", peer=address)
             del self.targets[address]
         if silent:
             self._index()
@@ -357,5 +367,9 @@
     return {target.status.service for target in targets}
 
 
-def _is_older(status: Status, known: Status) -> bool:
-    return (status.start, status.number) <= (known.start, known.number)
+def _is_older(status: Status, known: Target, now: float) -> bool:
+    if status.start == known.status.start:
+        return status.number <= known.status.number
+    # Another start is a successor, whose host may count from a later point: only
+    # while the known one still speaks can it be a late word of a predecessor.
+    return status.start < known.status.start and now - known.heard_at < LATE_SECONDS
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -30,7 +30,7 @@
         self.active = 0
         self.finished = 0
         self.mean_seconds = 0.0
-        self._tell = tell
+        self._tell_event = tell
         self._exchanges: dict[bytes, Exchange] = {}
 
     def note_inward(self, segment: Segment, now: float) -> None:
@@ -54,7 +54,7 @@
         exchange.started_at = now
         exchange.name = find_request_id(segment.data)
         self.active += 1
-        self._tell(
+        self._tell_event(
             "request_started",
             request=exchange.name,
             flow=segment.key.hex(),
@@ -76,7 +76,7 @@
             self.mean_seconds += MEAN_WEIGHT * (taken - self.mean_seconds)
         else:
             self.mean_seconds = taken
-        self._tell(
+        self._tell_event(
             "request_answered",
             request=exchange.name,
             flow=segment.key.hex(),
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -26,7 +26,8 @@
     held: list[Segment] = field(default_factory=list)
     answers: dict[str, int] = field(default_factory=dict)
     asked_at: float = float("-inf")
-    asked_first: str = ""
+    tried: str = ""
+    tried_at: float = 0.0
 
     def keep(self, segment: Segment) -> None:
         """Keep another packet of the flow."""
--- a/ibisshunt/coordination/forwarding/segment.py
+++ b/ibisshunt/coordination/forwarding/segment.py
@@ -3,10 +3,6 @@
 from dataclasses import dataclass
 
 SEQUENCE_SPACE = 1 << 32
-# A target's first sequence number and a caller's acknowledgement of the same flow lie
-# no further apart than the bytes that a flow carries. Unit: bytes. Source: an answer
-# is at most a few hundred kilobytes and a flow at most some hundred answers.
-MAX_FLOW_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +31,11 @@
         return self.key[6:]
 
 
-def belongs(first: int, acknowledgement: int) -> bool:
-    """Tell whether a caller's acknowledgement fits a target's first number."""
-    return (acknowledgement - first) % SEQUENCE_SPACE <= MAX_FLOW_BYTES
+def lies_between(first: int, number: int, last: int) -> bool:
+    """Tell whether a number lies in a span of the sequence space, ends included."""
+    return (number - first) % SEQUENCE_SPACE <= (last - first) % SEQUENCE_SPACE
+
+
+def is_later(number: int, known: int) -> bool:
+    """Tell whether a number comes after another, by the shorter way round."""
+    return 0 < (number - known) % SEQUENCE_SPACE < SEQUENCE_SPACE // 2
--- a/ibisshunt/helpers/decisions.py
+++ b/ibisshunt/helpers/decisions.py
@@ -1,7 +1,9 @@
 """Log decisions one line each, as many a second as can be borne."""
 
-from ..helpers.clock import read_clock
-from .logging import log_event
+from absl import logging
+
+from .clock import read_clock
+from .logging import format_event, log_event
 
 # Lines a second of one process; what is above is counted. Source: a line costs some
 # 30 microseconds, so that this many stay under 0.5% of a small host's core.
@@ -20,7 +22,7 @@
         self._told_at = 0.0
         self._told = 0
 
-    def tell(self, event: str, **fields: object) -> None:
+    def tell_event(self, event: str, **fields: object) -> None:
         """Log one decision, or count it when there were too many this second."""
         now = read_clock()
         if now >= self._refill_at:
@@ -31,7 +33,7 @@
             self.left_out += 1
             return
         self._left -= 1
-        log_event(event, **fields)
+        logging.info(format_event(event, **fields))
 
     def _summarize(self, now: float) -> None:
         if self.left_out == self._told or now < self._told_at + SUMMARY_SECONDS:
--- /dev/null
+++ b/tests/coordination/directory/test_contacts.py
@@ -0,0 +1,70 @@
+"""Nodes find each other through control hosts that know only some of them."""
+
+from ibisshunt.coordination.directory.contacts import UNLISTED_SECONDS, Contacts
+from ibisshunt.coordination.directory.messages import Hello, NodeRole, Welcome
+from ibisshunt.coordination.directory.registry import NODE_SECONDS, Registry
+
+CONTROL = ("10.0.0.1", "10.0.0.2")
+
+
+def introduce(registry, address, role, now, digest=0, version=0):
+    hello = Hello(role, version, digest)
+    return registry.take(address, hello, 7, CONTROL, now)
+
+
+def test_an_agent_learns_of_balancers_and_a_balancer_of_agents():
+    registry = Registry()
+    introduce(registry, "10.0.1.1", NodeRole.BALANCER, 1.0)
+    introduce(registry, "10.0.2.1", NodeRole.AGENT, 1.0)
+    assert introduce(registry, "10.0.2.2", NodeRole.AGENT, 1.0).nodes == ("10.0.1.1",)
+    welcome = introduce(registry, "10.0.1.1", NodeRole.BALANCER, 1.0)
+    assert welcome.nodes == ("10.0.2.1", "10.0.2.2")
+    assert welcome.version == 7
+
+
+def test_a_list_that_is_known_is_not_sent_again():
+    registry = Registry()
+    introduce(registry, "10.0.1.1", NodeRole.BALANCER, 1.0)
+    first = introduce(registry, "10.0.2.1", NodeRole.AGENT, 1.0)
+    again = introduce(registry, "10.0.2.1", NodeRole.AGENT, 1.1, first.digest)
+    assert first.nodes == ("10.0.1.1",)
+    assert again.nodes is None
+
+
+def test_a_silent_node_is_left_out():
+    registry = Registry()
+    introduce(registry, "10.0.1.1", NodeRole.BALANCER, 1.0)
+    assert registry.sweep(1.0 + NODE_SECONDS) == ["10.0.1.1"]
+    welcome = introduce(registry, "10.0.2.1", NodeRole.AGENT, 20.0)
+    assert welcome.nodes == ()
+
+
+def test_nodes_that_are_behind_are_listed():
+    registry = Registry()
+    introduce(registry, "10.0.1.1", NodeRole.BALANCER, 1.0, version=6)
+    introduce(registry, "10.0.1.2", NodeRole.BALANCER, 1.0, version=7)
+    assert registry.list_behind(7) == ["10.0.1.1"]
+
+
+def test_a_control_host_that_has_just_started_takes_nobody_away():
+    # A control host restarts and knows no balancer yet; its list is empty. The agent
+    # must go on telling its balancers, or they would take its target for lost.
+    contacts = Contacts(NodeRole.AGENT, ("10.0.0.1",))
+    contacts.take("10.0.0.1", Welcome(1, 5, CONTROL, ("10.0.1.1",)), 1.0)
+    contacts.take("10.0.0.1", Welcome(1, 6, CONTROL, ()), 2.0)
+    assert contacts.list_nodes() == ["10.0.1.1"]
+
+
+def test_control_hosts_are_learned_beyond_the_seeds():
+    contacts = Contacts(NodeRole.AGENT, ("10.0.0.1",))
+    contacts.take("10.0.0.1", Welcome(1, 5, CONTROL, ()), 1.0)
+    assert contacts.list_control(2.0) == ["10.0.0.1", "10.0.0.2"]
+
+
+def test_nodes_stay_known_while_control_is_away_for_long():
+    contacts = Contacts(NodeRole.AGENT, ("10.0.0.1",))
+    contacts.take("10.0.0.1", Welcome(1, 5, CONTROL, ("10.0.1.1",)), 1.0)
+    contacts.sweep(1.0 + UNLISTED_SECONDS - 1)
+    assert contacts.list_nodes() == ["10.0.1.1"]
+    contacts.sweep(1.0 + UNLISTED_SECONDS + 1)
+    assert contacts.list_nodes() == []
--- /dev/null
+++ b/tests/coordination/forwarding/test_flows.py
@@ -0,0 +1,284 @@
+"""Flows through balancers, agents and targets while these change."""
+
+import pytest
+
+from tests.forwarding_world import (
+    World,
+    data_segment,
+    make_key,
+    make_table,
+    open_segment,
+)
+
+FIRST, SECOND = "10.0.1.0", "10.0.1.1"
+
+
+def count_taken(world):
+    return {address: len(target.taken) for address, target in world.targets.items()}
+
+
+def test_a_flow_opens_and_goes_on_at_one_target():
+    world = World()
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 1
+    assert sum(count_taken(world).values()) == 1
+    assert not world.resets
+
+
+def test_any_balancer_finds_the_target_of_a_flow():
+    # A caller's packets reach another balancer, as when its own leaves the rotation.
+    # That one knows nothing of the flow: it asks the agents and hands the packet
+    # over; no other target sees a packet of it, and nothing is reset.
+    world = World(targets=7)
+    address, number = world.open(FIRST)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 1
+    assert not any(target.strays for target in world.targets.values())
+    assert not world.resets
+
+
+def test_packets_that_arrive_during_a_search_are_all_handed_over():
+    # One agent is slow to answer while three packets of its flow arrive at a balancer
+    # that does not know it: all three must reach the target once it answers.
+    world = World()
+    address, number = world.open(FIRST)
+    world.silent.add(address)
+    for step in range(3):
+        world.send(SECOND, data_segment(make_key(), number, 1001 + 16 * step))
+    assert not world.targets[address].taken
+    world.silent.clear()
+    world.wait(0.2)
+    assert len(world.targets[address].taken) == 3
+    assert not world.resets
+
+
+def test_a_restarted_agent_lets_its_target_tell_what_it_holds():
+    # An agent restarts beside a living target: its flows are unknown to it, the
+    # target's are not. Packets through any balancer still reach the target, and the
+    # caller sees no reset.
+    world = World(targets=4)
+    address, number = world.open(FIRST)
+    world.now += 1.0
+    world.agents[address] = world.make_agent()
+    world.beat(address, number=9, name="i-again")
+    world.tell_all()
+    world.send(FIRST, data_segment(make_key(), number))
+    world.send(SECOND, data_segment(make_key(), number, 1017))
+    assert len(world.targets[address].taken) == 2
+    assert not world.resets
+
+
+def test_all_agents_restarted_at_once_lose_no_flow():
+    # All agents are killed together and know nothing; each answers "maybe". The
+    # balancer tries one after the other, and what a target does not hold comes back.
+    world = World(targets=5)
+    flows = {}
+    for port in range(40_001, 40_021):
+        flows[port] = world.open(FIRST, make_key(port))
+    world.now += 1.0
+    for address in world.agents:
+        world.agents[address] = world.make_agent()
+        world.beat(address, number=9, name="i-again" + address)
+    world.tell_all()
+    for port, (address, number) in flows.items():
+        before = len(world.targets[address].taken)
+        world.send(SECOND, data_segment(make_key(port), number))
+        assert len(world.targets[address].taken) == before + 1
+    assert not world.resets
+
+
+def test_a_flow_that_nobody_holds_is_reset_at_once():
+    # The target crashed and another one took its place: its flows are gone. The
+    # caller must learn it with its next packet instead of waiting for its deadline.
+    world = World()
+    address, number = world.open(FIRST)
+    world.targets[address].flows.clear()
+    world.beat(address, number=1, name="i-successor")
+    world.tell_all()
+    world.send(FIRST, data_segment(make_key(), number))
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
+
+
+def test_a_flow_of_a_silent_agent_is_not_reset_before_the_agent_is_lost():
+    # The agent of a flow does not answer for a moment, as when it is restarted. A
+    # reset would break a flow that its target still holds.
+    world = World()
+    address, number = world.open(FIRST)
+    world.silent.add(address)
+    world.send(SECOND, data_segment(make_key(), number))
+    world.wait(1.2)
+    assert not world.resets
+    world.silent.clear()
+    world.wait(0.4)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) >= 1
+
+
+def test_a_flow_of_a_lost_agent_is_reset():
+    # The host of a target is gone without a word: after four missed statuses its
+    # flows are taken for lost, and the caller is told with its next packet.
+    world = World()
+    address, number = world.open(FIRST)
+    world.silent.add(address)
+    world.wait(2.0)
+    world.send(FIRST, data_segment(make_key(), number))
+    assert len(world.resets) == 1
+
+
+def test_an_agent_that_announced_its_restart_is_waited_for():
+    # A planned restart takes longer than an agent may be silent; it was announced,
+    # so its flows are not reset meanwhile.
+    world = World()
+    address, number = world.open(FIRST)
+    world.agents[address].pause()
+    world.tell_all()
+    world.silent.add(address)
+    world.wait(4.0)
+    world.send(FIRST, data_segment(make_key(), number))
+    assert not world.resets
+
+
+def test_a_draining_target_gets_no_new_flow_through_a_stale_balancer():
+    # The target said that it leaves, its agent knows, a balancer does not yet: the
+    # agent sends the opening packet back and another target takes the flow.
+    world = World(targets=2)
+    leaving = "10.0.2.0"
+    world.beat(leaving, number=2, draining=True)
+    for port in range(40_001, 40_021):
+        address, _ = world.open(FIRST, make_key(port))
+        assert address != leaving
+    assert not world.targets[leaving].flows
+
+
+def test_a_draining_target_keeps_its_flows():
+    world = World()
+    address, number = world.open(FIRST)
+    world.beat(address, number=2, draining=True)
+    world.tell_all()
+    world.send(SECOND, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 1
+
+
+def test_a_full_target_passes_the_flow_to_another():
+    world = World(targets=3)
+    for address in ("10.0.2.0", "10.0.2.1"):
+        world.targets[address].full = True
+    address, _ = world.open(FIRST)
+    assert address == "10.0.2.2"
+    assert not world.resets
+
+
+def test_a_flow_that_nobody_can_take_is_refused_at_once():
+    # Every target is full: the caller is told with a reset instead of being left to
+    # wait for its time-out, and nothing has run.
+    world = World(targets=3)
+    for target in world.targets.values():
+        target.full = True
+    world.send(FIRST, open_segment(make_key()))
+    assert [reset.reason for reset in world.resets] == ["no_target"]
+
+
+def test_an_address_used_again_by_another_service_gets_nothing_of_the_old_one():
+    # A target crashes and its address goes to a target of another service. A balancer
+    # that has not heard of it sends a packet there: the tag does not fit, nothing is
+    # handed over, and the flow is placed elsewhere.
+    world = World(targets=2)
+    reused = "10.0.2.0"
+    world.add_target(reused, first=9_000_000, service="docs")
+    for port in range(40_001, 40_011):
+        address, _ = world.open(FIRST, make_key(port))
+        assert address == "10.0.2.1"
+    assert not world.targets[reused].flows
+
+
+def test_a_successor_at_the_same_address_is_believed_though_its_clock_is_behind():
+    # A host is replaced by one whose clock counts from a later start of the machine:
+    # its statuses carry a smaller start. They must not be taken for late ones of the
+    # predecessor.
+    world = World(targets=1)
+    world.wait(2.0)
+    address = "10.0.2.0"
+    now, world.now = world.now, 5.0
+    world.agents[address] = world.make_agent()
+    world.now = now
+    world.beat(address, number=1, name="i-new", slots=7)
+    world.wait(0.8)
+    for balancer in world.balancers.values():
+        assert balancer.targets[address].status.slots == 7
+
+
+def test_a_port_used_again_opens_a_new_flow_beside_the_old_one():
+    # A caller uses its port again while the balancer still knows the old flow: the
+    # opening packet differs, so it is placed anew, and its packets follow it.
+    world = World(targets=3)
+    world.open(FIRST)
+    for sequence in range(2000, 2010):
+        address, number = world.open(FIRST, sequence=sequence)
+        before = len(world.targets[address].taken)
+        world.send(FIRST, data_segment(make_key(), number, sequence + 1))
+        assert len(world.targets[address].taken) == before + 1
+
+
+def test_copies_of_an_opening_packet_go_to_one_target():
+    # The answer to an opening packet got lost and the caller repeats it through the
+    # same balancer: a second target would pay for a handshake that nobody takes.
+    world = World(targets=5)
+    key = make_key()
+    for _ in range(3):
+        world.send(FIRST, open_segment(key))
+    assert len({address for address, _ in world.to_callers}) == 1
+
+
+@pytest.mark.parametrize("taken", [0, 1])
+def test_the_caller_decides_between_two_targets_that_answered(taken):
+    # Copies of one opening packet went through two balancers to two targets. The
+    # caller takes one answer; its packets must reach that target through both
+    # balancers, and the other target must see none of them.
+    world = World(targets=2)
+    key = make_key()
+    world.targets["10.0.2.1"].full = True
+    world.send(FIRST, open_segment(key))
+    world.targets["10.0.2.1"].full = False
+    world.targets["10.0.2.0"].full = True
+    world.send(SECOND, open_segment(key))
+    answers = world.to_callers
+    assert len({address for address, _ in answers}) == 2
+    address, answer = answers[taken]
+    for balancer in (FIRST, SECOND):
+        world.send(balancer, data_segment(key, answer.sequence + 1))
+    other = next(found for found in world.targets if found != address)
+    assert len(world.targets[address].taken) == 2
+    assert not world.targets[other].taken
+    assert not world.targets[other].strays
+    assert not world.resets
+
+
+def test_an_open_flow_stays_where_it_is_when_its_route_changes_its_service():
+    # A new configuration sends new flows of a route to another service; an open flow
+    # stays at its target, also through a balancer that never saw it.
+    world = World(targets=2)
+    world.add_target("10.0.2.9", first=9_000_000, service="docs")
+    world.tell_all()
+    address, number = world.open(FIRST)
+    for balancer in world.balancers.values():
+        balancer.take_routes(make_table(version=2, service="docs"))
+    for balancer in (FIRST, SECOND):
+        world.send(balancer, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 2
+    assert world.open(FIRST, make_key(41_000))[0] == "10.0.2.9"
+
+
+def test_an_older_configuration_never_comes_back():
+    world = World()
+    balancer = world.balancers[FIRST]
+    assert balancer.take_routes(make_table(version=5))
+    assert not balancer.take_routes(make_table(version=4, service="docs"))
+    assert balancer.routes.version == 5
+
+
+def test_a_place_without_a_route_is_refused_at_once():
+    world = World()
+    place = bytes((198, 18, 0, 9, 1, 187))
+    world.send(FIRST, open_segment(make_key(place=place)))
+    assert [reset.reason for reset in world.resets] == ["no_route"]
--- a/tests/docs/test_reference_pages.py
+++ b/tests/docs/test_reference_pages.py
@@ -21,6 +21,7 @@
     "standalone": settings.StandaloneSettings,
 }
 LOGGERS = ("log_event", "warn_event")
+TELLERS = ("_tell_event", "tell_event")
 
 
 @functools.cache
@@ -33,15 +34,18 @@
     return [node for tree in trees for node in ast.walk(tree)]
 
 
+def is_logging(node):
+    """Tell whether a node logs an event, by itself or through a decision's log."""
+    if not isinstance(node, ast.Call):
+        return False
+    if isinstance(node.func, ast.Name):
+        return node.func.id in LOGGERS
+    return isinstance(node.func, ast.Attribute) and node.func.attr in TELLERS
+
+
 def list_events():
     """Return the events that the code logs."""
-    calls = [
-        node
-        for node in parse_tree()
-        if isinstance(node, ast.Call)
-        and isinstance(node.func, ast.Name)
-        and node.func.id in LOGGERS
-    ]
+    calls = [node for node in parse_tree() if is_logging(node)]
     for call in calls:
         assert isinstance(call.args[0], ast.Constant), ast.unparse(call)
     return {call.args[0].value for call in calls}
--- /dev/null
+++ b/tests/forwarding_world.py
@@ -0,0 +1,195 @@
+"""Balancers, agents and targets of one service in memory, with a clock of their own."""
+
+import random
+from dataclasses import dataclass, field, replace
+
+from ibisshunt.coordination.forwarding.agent import Agent, Announcement
+from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.messages import (
+    Ask,
+    Deliver,
+    Reset,
+    Returned,
+    Send,
+    ToCaller,
+    ToTarget,
+)
+from ibisshunt.coordination.forwarding.routes import Route, RouteTable, Share
+from ibisshunt.coordination.forwarding.segment import Segment
+
+PLACE = bytes((198, 18, 0, 1, 1, 187))
+SERVICE = "booking"
+HEARTBEAT = 1.0
+
+
+def make_key(port=40_001, place=PLACE):
+    """Return the key of a caller's flow."""
+    return bytes((100, 64, 0, 7)) + port.to_bytes(2, "big") + place
+
+
+def make_table(version=1, service=SERVICE, place=PLACE):
+    """Return a configuration with one route."""
+    route = Route("r", (Share(service, 1),), 500, 100, 1, True)
+    return RouteTable(version, {place: route})
+
+
+def open_segment(key, sequence=1000):
+    """Return the packet that opens a flow."""
+    return Segment(key, b"syn", b"", sequence, 0, opens=True)
+
+
+def data_segment(key, acknowledgement, sequence=1001, data=b"GET / HTTP/1.1\r\n\r\n"):
+    """Return a caller's packet with data."""
+    return Segment(key, b"data", data, sequence, acknowledgement, acknowledges=True)
+
+
+@dataclass
+class FakeTarget:
+    """Hold flows as an endpoint does: it returns each packet that it does not hold."""
+
+    first: int
+    full: bool = False
+    flows: dict = field(default_factory=dict)
+    taken: list = field(default_factory=list)
+    strays: list = field(default_factory=list)
+
+    def take(self, segment, origin):
+        """Return the packet that the target sends in turn, or None."""
+        if segment.opens:
+            if self.full:
+                return replace(segment, returned=True, origin=origin)
+            self.first += 100_000
+            self.flows[segment.key] = self.first
+            return Segment(
+                segment.key,
+                b"synack",
+                b"",
+                self.first,
+                1,
+                opens=True,
+                acknowledges=True,
+            )
+        first = self.flows.get(segment.key)
+        if first is None or segment.acknowledgement - first > 50_000:
+            self.strays.append(segment)
+            return replace(segment, returned=True, origin=origin)
+        self.taken.append(segment)
+        return None
+
+
+class World:
+    """Carry messages between the parts at once, unless a link is cut."""
+
+    def __init__(self, targets=3, balancers=2, seed=1):
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.balancers = {
+            f"10.0.1.{number}": self.make_balancer() for number in range(balancers)
+        }
+        self.agents = {}
+        self.targets = {}
+        self.silent = set()
+        self.to_callers = []
+        self.resets = []
+        self._segments = {}
+        for number in range(targets):
+            self.add_target(f"10.0.2.{number}", first=100_000_000 * (number + 1))
+        self.tell_all()
+
+    def make_balancer(self):
+        """Return a balancer that has the configuration and no more."""
+        balancer = Balancer(self.random.random)
+        balancer.take_routes(make_table())
+        return balancer
+
+    def add_target(self, address, first, service=SERVICE):
+        """Add a target that starts after its agent."""
+        self.agents[address] = self.make_agent(service)
+        self.targets[address] = FakeTarget(first)
+        self.beat(address, number=1, name=f"i-{first}")
+
+    def make_agent(self, service=SERVICE):
+        """Return an agent that has not heard its target."""
+        return Agent(service, int(self.now * 1000), HEARTBEAT, self.now)
+
+    def beat(self, address, number, name=None, draining=False, slots=1):
+        """Let a target speak to its agent."""
+        agent = self.agents[address]
+        name = name or agent._announced.name
+        found = Announcement(name, agent.service, slots, draining, 0, number)
+        agent.announce(found, self.now)
+
+    def tell_all(self):
+        """Let each agent that is heard tell all balancers of its target."""
+        for address, agent in self.agents.items():
+            if address in self.silent:
+                continue
+            status = agent.report(self.now)
+            for balancer in self.balancers.values():
+                balancer.learn(address, status, self.now)
+
+    def wait(self, seconds):
+        """Let time go by; targets and agents speak as they do."""
+        steps = max(1, int(seconds / 0.05))
+        for step in range(steps):
+            self.now += seconds / steps
+            if step % 8 == 7:
+                for address in self.agents:
+                    agent = self.agents[address]
+                    if agent._announced is not None and address not in self.silent:
+                        agent.announce(agent._announced, self.now)
+                self.tell_all()
+            for address, balancer in self.balancers.items():
+                self.carry_out(address, balancer.sweep(self.now))
+
+    def send(self, balancer, segment):
+        """Let a caller's packet arrive at a balancer."""
+        raw = str(len(self._segments)).encode()
+        segment = self._segments[raw] = replace(segment, raw=raw)
+        taken = self.balancers[balancer].take(segment, self.now)
+        self.carry_out(balancer, taken)
+
+    def carry_out(self, balancer, actions):
+        """Carry out what a balancer asks for."""
+        for action in actions:
+            if isinstance(action, Reset):
+                self.resets.append(action)
+            elif action.peer not in self.silent and action.peer in self.agents:
+                self._deliver(balancer, action)
+
+    def open(self, balancer, key=None, sequence=1000):
+        """Open a flow; return the address of its target and the number to ack."""
+        key = key or make_key()
+        before = len(self.to_callers)
+        self.send(balancer, open_segment(key, sequence))
+        address, segment = self.to_callers[before]
+        return address, segment.sequence + 1
+
+    def _deliver(self, balancer, action: Send):
+        agent = self.agents[action.peer]
+        if isinstance(action.message, Ask):
+            told = agent.tell(action.message, self.now)
+            found = self.balancers[balancer].take_told(
+                action.peer, told.key, told.answer, self.now
+            )
+            self.carry_out(balancer, found)
+            return
+        assert isinstance(action.message, Deliver)
+        segment = self._segments[action.message.packet]
+        answer = agent.take(balancer, action.message, segment, self.now)
+        self._follow(balancer, action.peer, answer, segment)
+
+    def _follow(self, balancer, address, answer, segment):
+        if isinstance(answer, ToTarget):
+            origin = bytes(int(part) for part in answer.origin.split("."))
+            sent = self.targets[address].take(answer.segment, origin)
+            if sent is not None:
+                answer = self.agents[address].take_outward(sent, self.now)
+                self._follow(balancer, address, answer, segment)
+        elif isinstance(answer, ToCaller):
+            self.to_callers.append((address, answer.segment))
+        elif isinstance(answer.message, Returned):
+            found = self.balancers[answer.peer].take_returned(
+                address, answer.message, segment, self.now
+            )
+            self.carry_out(answer.peer, found)
