--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -45,16 +45,21 @@
         self.names = tuple(sorted({name, *peers}))
         self._told = ""
 
+    def add_peers(self, peers: Mapping[str, Address]) -> None:
+        """Ask these hosts too, from the next round on."""
+        self._peers = {**self._peers, **peers}
+
     def run(self, is_done: Callable[[], bool]) -> None:
         """Introduce this host to all peers until it is a member."""
-        channels: dict[str, Caller] = {
-            name: self._make_channel(address) for name, address in self._peers.items()
-        }
+        channels: dict[str, Caller] = {}
         try:
             while True:
                 if is_done():
                     gevent.sleep(DONE_PAUSE_SECONDS)
                     continue
+                for name, address in self._peers.items():
+                    if name not in channels:
+                        channels[name] = self._make_channel(address)
                 self._follow_referral(channels)
                 replies = self._greet(channels)
                 self._tell(replies)
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -57,6 +57,11 @@
         passed = self._log.read_barrier(ANSWER_SECONDS)
         return passed.bind(lambda index: Success(self.store.body))
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask these hosts for admission too, if this one has yet to be admitted."""
+        port = self._log.settings.rpc.port
+        self._log.joiner.add_peers({seed: Address(seed, port) for seed in seeds})
+
     def list_control(self) -> tuple[str, ...]:
         """Return the addresses of the control hosts."""
         members = self._log.driver.state.log.membership.members
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -23,6 +23,10 @@
         self._nodes: dict[str, float] = {}
         self._heard: dict[str, float] = {}
 
+    def take_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the seeds by those of newer settings."""
+        self.seeds = tuple(seeds)
+
     def make_hello(self, version: int) -> Hello:
         """Return the introduction for the control hosts."""
         return Hello(self.role, version, self.digest)
--- a/ibisshunt/platform/__main__.py
+++ b/ibisshunt/platform/__main__.py
@@ -1,9 +1,5 @@
 """Run one program: ``python3 -m ibisshunt.platform balancer|agent|control``."""
 
-from gevent import monkey
-
-monkey.patch_all()
-
 import signal
 import sys
 
@@ -14,6 +10,7 @@
 from ..exceptions import IbisshuntError, SettingsError
 from ..helpers.logging import log_event, send_to_stdout
 from .programs import PROGRAMS
+from .reloading import watch_settings
 from .settings import find_path, read_settings
 
 
@@ -22,13 +19,18 @@
     if len(arguments) != 1 or arguments[0] not in PROGRAMS:
         print(f"expected one of: {' '.join(PROGRAMS)}", file=sys.stderr)
         return EXIT_BAD_INPUT
+    # Until the settings are read: by default the signal ends a process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     send_to_stdout()
     kernel = Kernel()
     gevent.signal_handler(signal.SIGTERM, kernel.request_stop)
     gevent.signal_handler(signal.SIGINT, kernel.request_stop)
     try:
-        settings = read_settings(find_path())
+        path = find_path()
+        settings = read_settings(path)
         PROGRAMS[arguments[0]](kernel, settings)
+        reloader = watch_settings(kernel, path, settings)
+        gevent.signal_handler(signal.SIGHUP, reloader.wake)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_INPUT
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -15,12 +15,14 @@
 # How long a balancer that stops goes on forwarding. Unit: seconds. Source: the
 # routers ask twice a second and leave a node out after two misses.
 LEAVE_SECONDS = 2.2
+# Name of the service that takes new seeds.
+RELOAD = "reload"
 
 
 def set_up_balancer(kernel: Kernel, settings: NodeSettings) -> None:
     """Start a balancer."""
     from ..components.forwarding.balancer import BalancerTask
-    from .calls import answer_probe
+    from .probe import answer_probe
 
     inner = InnerSocket(settings.inner)
     task = BalancerTask(settings, CODEC, inner)
@@ -50,12 +52,13 @@
     kernel.spawn("sweep", task.run_sweep)
     kernel.register("directory", directory, dump=directory.dump)
     kernel.register("balancer", task, unload=unload, dump=task.dump)
+    kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
 def set_up_agent(kernel: Kernel, settings: NodeSettings) -> None:
     """Start an agent."""
     from ..components.forwarding.agent import AgentTask
-    from .calls import answer_endpoint
+    from .endpoint import answer_endpoint
 
     inner = InnerSocket(settings.inner)
     directory: NodeDirectory
@@ -80,13 +83,14 @@
         server.stop(timeout=0)
 
     kernel.register("agent", task, unload=unload, dump=task.dump)
+    kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
 def set_up_control(kernel: Kernel, settings: NodeSettings) -> None:
     """Start a control host."""
     from ..components import versions
     from ..components.directory.control import ControlDirectory
-    from .calls import answer_operator
+    from .operator import answer_operator
 
     service = versions.setup(kernel, settings)
     inner = InnerSocket(settings.inner)
@@ -96,6 +100,7 @@
     kernel.register("directory", directory, dump=directory.dump)
     server = serve(settings.control, answer_operator(service))
     kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
+    kernel.register(RELOAD, service.take_seeds)
 
 
 PROGRAMS = {
