--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -31,7 +31,7 @@
         if settings.packets is None:
             raise ValueError("a balancer needs an address for packets")
         self.log = DecisionLog()
-        self.balancer = Balancer(random.random, self.log.tell)
+        self.balancer = Balancer(random.random, self.log.tell_event)
         self.packets = 0
         self.unreadable = 0
         self._codec = codec
--- a/ibisshunt/platform/__main__.py
+++ b/ibisshunt/platform/__main__.py
@@ -3,6 +3,10 @@
 import signal
 import sys
 
+# By default the signal ends a process; one that arrives during the imports, which
+# take a small host a second, would. The settings are read afterwards anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import gevent
 
 from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
@@ -19,8 +23,6 @@
     if len(arguments) != 1 or arguments[0] not in PROGRAMS:
         print(f"expected one of: {' '.join(PROGRAMS)}", file=sys.stderr)
         return EXIT_BAD_INPUT
-    # Until the settings are read: by default the signal ends a process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     send_to_stdout()
     kernel = Kernel()
     gevent.signal_handler(signal.SIGTERM, kernel.request_stop)
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,250 @@
+"""Stand-ins for the platform: an endpoint, a client and the settings of a process."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+from ibisshunt.platform import packet
+from tests.docs.pages import ROOT
+
+INNER = 17_720
+PACKETS = 17_172
+OUTWARD = 17_162
+APP = 17_165
+CONTROL = 17_166
+READY = 17_167
+SERVICE = "huvo11a"
+PLACE = ("198.18.0.1", 8443)
+DEADLINE_SECONDS = 30.0
+
+
+def wait_for(check, what):
+    """Return the first true result; fail after the deadline."""
+    deadline = time.monotonic() + DEADLINE_SECONDS
+    while time.monotonic() < deadline:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f"{what} did not happen within {DEADLINE_SECONDS} s")
+
+
+def call(address, path, body=None):
+    """Return status and body of an HTTP call; 0 when nobody answers."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data)
+    try:
+        with urllib.request.urlopen(request, timeout=2) as reply:
+            return reply.status, reply.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+class Process:
+    """Own one program of ours, with settings as the platform writes them."""
+
+    def __init__(self, folder, role, ip, seeds, listen, **more):
+        self.path = folder / f"{role}-{ip}.toml"
+        self.role = role
+        self.fields = {"ip": ip, "seeds": seeds, "listen": listen, "more": more}
+        self.write()
+        self.log = (folder / f"{role}-{ip}.log").open("ab")
+        self.start()
+
+    def write(self, **changes):
+        """Write the settings file."""
+        self.fields.update(changes)
+        lines = [
+            f'NodeName = "{self.role}"',
+            f'Ip = "{self.fields["ip"]}"',
+            'Zone = "a"',
+            f"InternalPortRange = [{INNER}, {INNER + 9}]",
+            f"Seeds = {json.dumps(self.fields['seeds'])}",
+            *[
+                f"{key} = {json.dumps(found)}"
+                for key, found in self.fields["more"].items()
+            ],
+            "[ListenAddrs]",
+            *[f'{key} = "{found}"' for key, found in self.fields["listen"].items()],
+        ]
+        self.path.write_text("\n".join(lines))
+
+    def start(self):
+        """Start the program."""
+        environment = {**os.environ, "IBISSHUNT_NODE_FILE": str(self.path)}
+        command = [sys.executable, "-m", "ibisshunt.platform", self.role]
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
+        )
+
+    def read_log(self):
+        """Return what the program has written."""
+        return Path(self.log.name).read_text()
+
+    def signal(self, number):
+        """Send a signal to the program."""
+        self.process.send_signal(number)
+
+    def stop(self):
+        """End the program and wait."""
+        if self.process.poll() is None:
+            self.signal(signal.SIGKILL)
+        self.process.wait(timeout=DEADLINE_SECONDS)
+        self.log.close()
+
+
+class Endpoint:
+    """Answer flows as the platform's endpoints do, one packet a request."""
+
+    def __init__(self, ip, number):
+        self.ip = ip
+        self.name = f"i-{number}"
+        self.first = 1_000_000 * number
+        self.flows = {}
+        self.requests = 0
+        self.bounced = 0
+        self.state = "ready"
+        self._beats = 0
+        self._running = True
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, APP))
+        self._socket.settimeout(0.1)
+        self._threads = [
+            threading.Thread(target=run, daemon=True)
+            for run in (self._serve, self._beat)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def beat(self):
+        """Send one heartbeat; return the status."""
+        self._beats += 1
+        body = {
+            "Service": SERVICE,
+            "Address": f"{self.ip}:{APP}",
+            "Zone": "a",
+            "Version": "v1",
+            "Slots": 1,
+            "State": self.state,
+            "WarmupLeftMs": 0,
+            "Seq": self._beats,
+        }
+        path = f"/-/instances/{self.name}/heartbeat"
+        return call(f"{self.ip}:{CONTROL}", path, body)[0]
+
+    def stop(self):
+        """Fall silent."""
+        self._running = False
+        for thread in self._threads:
+            thread.join()
+        self._socket.close()
+
+    def _beat(self):
+        while self._running:
+            self.beat()
+            time.sleep(0.3)
+
+    def _serve(self):
+        while self._running:
+            try:
+                data, _ = self._socket.recvfrom(65_535)
+            except TimeoutError:
+                continue
+            answer = self._answer(data)
+            self._socket.sendto(answer, (self.ip, OUTWARD))
+
+    def _answer(self, data):
+        segment = packet.parse_inward(data)
+        if segment.opens:
+            self.first += 100_000
+            self.flows[segment.key] = self.first
+            return make_answer(segment.key, packet.SYN | packet.ACK, self.first)
+        if segment.key not in self.flows:
+            self.bounced += 1
+            return bytes((data[0] | packet.BOUNCED,)) + data[1:]
+        self.requests += 1
+        number = self.flows[segment.key] + 1
+        body = f"HTTP/1.1 200 OK\r\n\r\n{self.name}".encode()
+        return make_answer(segment.key, packet.ACK, number, body)
+
+
+def make_answer(key, flags, number, data=b""):
+    """Return a packet from the service to the caller."""
+    return (
+        packet._HEAD.pack(
+            flags,
+            len(data),
+            key[10:],
+            key[6:10],
+            key[4:6],
+            key[:4],
+            bytes(4),
+            0,
+            number,
+            0,
+        )
+        + data
+    )
+
+
+class Client:
+    """Open flows from one address, at the port that the platform uses for callers."""
+
+    def __init__(self, ip):
+        self.ip = ip
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, PACKETS))
+        self._socket.settimeout(2.0)
+
+    def make_key(self, port):
+        """Return the key of a flow."""
+        return (
+            socket.inet_aton(self.ip)
+            + port.to_bytes(2, "big")
+            + socket.inet_aton(PLACE[0])
+            + PLACE[1].to_bytes(2, "big")
+        )
+
+    def open(self, balancer, port):
+        """Open a flow; return the answer's segment, or None after two seconds."""
+        return self.send(balancer, port, packet.SYN, 0)
+
+    def ask(self, balancer, port, opened, request="GET / HTTP/1.1\r\n\r\n"):
+        """Send a request; return the answer's segment."""
+        number = opened.sequence + 1
+        return self.send(balancer, port, packet.ACK, number, request.encode())
+
+    def send(self, balancer, port, flags, number, data=b""):
+        """Send one packet and return the next answer, or None."""
+        key = self.make_key(port)
+        head = packet._HEAD.pack(
+            flags,
+            len(data),
+            key[4:6],
+            key[:4],
+            key[10:],
+            key[6:10],
+            bytes(4),
+            0,
+            1000,
+            number,
+        )
+        self._socket.sendto(head + data, (balancer, PACKETS))
+        try:
+            return packet.parse_outward(self._socket.recv(65_535))
+        except TimeoutError:
+            return None
+
+    def close(self):
+        """Close the socket."""
+        self._socket.close()
--- /dev/null
+++ b/tests/platform/test_programs.py
@@ -0,0 +1,210 @@
+"""The three programs as separate processes on loopback, with stand-ins around them."""
+
+import signal
+
+import pytest
+
+from .standin import (
+    APP,
+    CONTROL,
+    INNER,
+    OUTWARD,
+    PACKETS,
+    PLACE,
+    READY,
+    SERVICE,
+    Client,
+    Endpoint,
+    Process,
+    call,
+    wait_for,
+)
+
+CORE = "127.7.0.1"
+FRONTS = ("127.7.1.1", "127.7.1.2")
+SIDES = ("127.7.2.1", "127.7.2.2")
+CLIENT = "127.7.9.1"
+SEEDS = [f"{CORE}:{CONTROL}"]
+CONFIG = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Hostname": PLACE[0],
+            "PathPrefix": f"/{PLACE[1]}/",
+            "Type": "idempotent",
+            "TimeoutMs": 1000,
+            "Service": SERVICE,
+        }
+    ],
+    "Services": [{"Name": SERVICE}],
+}
+
+
+class System:
+    """Own all processes and stand-ins of one test."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        control = {"Control": f"{CORE}:{CONTROL}"}
+        self.core = Process(
+            folder,
+            "control",
+            CORE,
+            SEEDS,
+            control,
+            DataDir=str(folder / "data"),
+            Bootstrap=True,
+        )
+        self.fronts = [
+            Process(
+                folder,
+                "balancer",
+                ip,
+                SEEDS,
+                {"UdpAddr": f"{ip}:{PACKETS}", "ReadyAddr": f"{ip}:{READY}"},
+            )
+            for ip in FRONTS
+        ]
+        self.sides = [
+            Process(
+                folder,
+                "agent",
+                ip,
+                SEEDS,
+                {
+                    "UdpAddr": f"{ip}:{PACKETS}",
+                    "outbound": f"{ip}:{OUTWARD}",
+                    "Control": f"{ip}:{CONTROL}",
+                },
+                app=f"{ip}:{APP}",
+                Service=SERVICE,
+                HeartbeatMs=300,
+            )
+            for ip in SIDES
+        ]
+        self.endpoints = [
+            Endpoint(ip, number) for number, ip in enumerate(SIDES, start=1)
+        ]
+        self.client = Client(CLIENT)
+
+    def put(self, config=CONFIG):
+        """Send a configuration until it is acknowledged."""
+        path = "/-/config/put"
+        wait_for(
+            lambda: call(f"{CORE}:{CONTROL}", path, config)[0] == 200,
+            "an acknowledgement",
+        )
+
+    def wait_until_ready(self):
+        """Wait until all balancers can place flows."""
+        for ip in FRONTS:
+            wait_for(lambda ip=ip: call(f"{ip}:{READY}", "/-/ready")[0] == 200, "ready")
+
+    def stop(self):
+        """End everything."""
+        self.client.close()
+        for endpoint in self.endpoints:
+            endpoint.stop()
+        for process in (self.core, *self.fronts, *self.sides):
+            process.stop()
+
+
+@pytest.fixture
+def system(tmp_path):
+    found = System(tmp_path)
+    yield found
+    found.stop()
+
+
+def ask(system, front, port, opened):
+    answer = system.client.ask(front, port, opened)
+    assert answer is not None
+    assert not answer.resets
+    return answer.data.rpartition(b"\n")[2].decode()
+
+
+def test_flows_go_on_through_any_balancer_restarts_and_signals(system):
+    # A flow opens through one balancer and goes on through the other. Then settings
+    # are signalled to every process, the agents are stopped as planned and start again
+    # beside living endpoints, and control is lost: each time the same endpoint answers.
+    assert call(f"{FRONTS[0]}:{READY}", "/-/ready")[0] != 200
+    system.put()
+    system.wait_until_ready()
+    opened = wait_for(lambda: system.client.open(FRONTS[0], 40_001), "a flow")
+    home = ask(system, FRONTS[0], 40_001, opened)
+    assert ask(system, FRONTS[1], 40_001, opened) == home
+
+    for process in (system.core, *system.fronts, *system.sides):
+        process.signal(signal.SIGHUP)
+    wait_for(
+        lambda: all(
+            "settings_unchanged" in process.read_log()
+            for process in (system.core, *system.fronts, *system.sides)
+        ),
+        "a look at the settings",
+    )
+    assert ask(system, FRONTS[1], 40_001, opened) == home
+
+    for side in system.sides:
+        side.signal(signal.SIGTERM)
+        assert side.process.wait(timeout=20) == 0
+        side.start()
+    system.core.signal(signal.SIGKILL)
+    system.core.process.wait()
+    found = wait_for(
+        lambda: system.client.ask(FRONTS[1], 40_001, opened), "an answer again"
+    )
+    assert found.data.endswith(home.encode())
+
+
+def test_a_draining_endpoint_keeps_its_flows_and_gets_no_new_one(system):
+    # An endpoint says that it leaves. From the acknowledgement on no new flow may
+    # reach it, through any balancer; its open flows go on.
+    system.put()
+    system.wait_until_ready()
+    opened = wait_for(lambda: system.client.open(FRONTS[0], 40_001), "a flow")
+    home = ask(system, FRONTS[0], 40_001, opened)
+    leaving = next(found for found in system.endpoints if found.name == home)
+    leaving.state = "draining"
+    assert leaving.beat() == 200
+    flows = len(leaving.flows)
+    for port in range(41_001, 41_021):
+        answer = system.client.open(FRONTS[port % 2], port)
+        assert answer is not None
+        assert answer.opens
+    assert len(leaving.flows) == flows
+    assert ask(system, FRONTS[1], 40_001, opened) == home
+
+
+def test_configurations_never_revert_and_invalid_ones_are_refused(system):
+    # An older version, other content under the version that is held, and an invalid
+    # one arrive after version 3; then control loses power and starts again. What is
+    # read is version 3 as it was sent.
+    system.put()
+    put, get = "/-/config/put", "/-/config/get"
+    core = f"{CORE}:{CONTROL}"
+    assert call(core, put, {**CONFIG, "Version": 2})[0] == 200
+    assert call(core, put, {**CONFIG, "Routes": []})[0] == 200
+    invalid = {**CONFIG, "Version": 9, "Services": []}
+    assert call(core, put, invalid)[0] == 400
+    status, body = call(core, get)
+    assert status == 200
+    system.core.signal(signal.SIGKILL)
+    system.core.process.wait()
+    system.core.write(more={**system.core.fields["more"], "Bootstrap": False})
+    system.core.start()
+    wait_for(lambda: call(core, get)[0] == 200, "a read")
+    assert call(core, get) == (200, body)
+    assert b'"Version": 3' in body
+
+
+def test_a_process_without_its_settings_says_what_is_missing(tmp_path):
+    process = Process(tmp_path, "balancer", FRONTS[0], ["nowhere"], {})
+    assert process.process.wait(timeout=20) == 2
+    assert "Seeds" in process.read_log()
+    process.stop()
+
+
+def test_the_inner_port_is_one_for_all():
+    assert INNER not in (PACKETS, OUTWARD, APP, CONTROL, READY)
