--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -19,7 +19,15 @@
 # How often searches go on and old flows are forgotten. Unit: seconds. Source: below
 # the interval at which a search is asked again.
 SWEEP_SECONDS = 0.05
-IDLE_SWEEP_SECONDS = 0.25
+IDLE_SWEEP_SECONDS = 0.1
+# A balancer that stops forwards until callers have left it for this long. Unit:
+# seconds. Source: a few packets of each open flow would come in it.
+QUIET_SECONDS = 0.4
+# How long it goes on at least and at most. Unit: seconds. Source: routers ask twice a
+# second and leave a node out after two misses, but use all nodes of a zone when fewer
+# than half are in rotation; a process is killed 6 s after it was asked to stop.
+LEAVE_SECONDS = 1.3
+STOP_SECONDS = 5.0
 
 
 class BalancerTask:
@@ -31,9 +39,10 @@
         if settings.packets is None:
             raise ValueError("a balancer needs an address for packets")
         self.log = DecisionLog()
-        self.balancer = Balancer(random.random, self.log.tell_event)
+        self.balancer = Balancer(random.random, self.log.tell_event, read_clock())
         self.packets = 0
         self.unreadable = 0
+        self._packet_at = read_clock()
         self._codec = codec
         self._inner = inner
         self._port = settings.packets.port
@@ -49,22 +58,37 @@
     def run_sweep(self) -> None:
         """Go on with searches until killed."""
         while True:
-            busy = bool(self.balancer.searches)
+            busy = bool(self.balancer.searches or self.balancer.openings)
             gevent.sleep(SWEEP_SECONDS if busy else IDLE_SWEEP_SECONDS)
             self._carry_out(self.balancer.sweep(read_clock()))
 
     def take_routes(self, routes: RouteTable) -> None:
         """Put a configuration in force."""
         self.balancer.take_routes(routes)
+        self._carry_out(self.balancer.sweep(read_clock()))
 
     def meet(self, peer: str) -> None:
         """Ask a new agent for its status."""
+        self.balancer.expect(peer, read_clock())
         self._inner.send(peer, Introduce())
 
     def is_usable(self) -> bool:
         """Tell whether this balancer could place a flow."""
         return self.balancer.is_usable(read_clock())
 
+    def wait_until_left(self) -> None:
+        """Go on forwarding until routers send no packets any more, 5 s at most.
+
+        Routers that have too few nodes send packets to this one though it is not
+        ready; a listener that closes then costs each caller 1.4 s.
+        """
+        started_at = read_clock()
+        while (now := read_clock()) < started_at + STOP_SECONDS:
+            quiet = now >= self._packet_at + QUIET_SECONDS
+            if quiet and now >= started_at + LEAVE_SECONDS:
+                return
+            gevent.sleep(QUIET_SECONDS / 4)
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
@@ -88,10 +112,13 @@
             self.unreadable += 1
             return
         self.packets += 1
-        self._carry_out(self.balancer.take(segment, read_clock()))
+        now = self._packet_at = read_clock()
+        self._carry_out(self.balancer.take(segment, now))
 
     def _take_status(self, peer: str, status: Status) -> None:
-        self.balancer.learn(peer, status, read_clock())
+        now = read_clock()
+        if self.balancer.learn(peer, status, now) and self.balancer.openings:
+            self._carry_out(self.balancer.sweep(now))
 
     def _take_returned(self, peer: str, message: Returned) -> None:
         segment = self._codec.parse_inward(message.packet)
--- /dev/null
+++ b/ibisshunt/components/web/__init__.py
@@ -0,0 +1,30 @@
+"""Answer HTTP/1.1 requests of the world around a node."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+# A request that does not fit is refused before it is read. Unit: bytes. Source: a
+# configuration of a few thousand routes.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class WebRequest:
+    """Hold one request."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WebReply:
+    """Hold one answer; ``status`` is the line's number and words."""
+
+    status: str
+    body: bytes = b"{}"
+    kind: str = "application/json"
+
+
+Handle = Callable[[WebRequest], WebReply]
+TOO_LARGE = WebReply("413 Content Too Large")
--- a/ibisshunt/components/forwarding/web.py
+++ b/ibisshunt/components/web/wsgi.py
@@ -1,38 +1,12 @@
-"""Answer HTTP/1.1 requests of the world around a node."""
+"""Serve HTTP with gevent's WSGI server, for hosts that can afford its import."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 from typing import Any
 
 from gevent.pywsgi import WSGIServer
 
 from ...model.address import Address
-
-# A request that does not fit is refused before it is read. Unit: bytes. Source: a
-# configuration of a few thousand routes.
-MAX_BODY_BYTES = 4 * 1024 * 1024
-
-
-@dataclass(frozen=True, slots=True)
-class WebRequest:
-    """Hold one request."""
-
-    method: str
-    path: str
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class WebReply:
-    """Hold one answer; ``status`` is the line's number and words."""
-
-    status: str
-    body: bytes = b"{}"
-    kind: str = "application/json"
-
-
-Handle = Callable[[WebRequest], WebReply]
-TOO_LARGE = WebReply("413 Content Too Large")
+from . import MAX_BODY_BYTES, TOO_LARGE, Handle, WebReply, WebRequest
 
 
 def serve(address: Address, handle: Handle) -> WSGIServer:
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -28,6 +28,17 @@
 # milliseconds; statuses come every 0.4 s.
 LATE_SECONDS = 0.35
 
+# How long an opening packet waits for a target that is about to be known or back. Unit:
+# seconds. Source: a caller gives an opening up after 1.4 s; a restart takes 1-2 s.
+HOLD_SECONDS = 1.0
+MAX_HELD_OPENINGS = 2_000
+# How long after its start a balancer may not yet know all targets. Unit: seconds.
+# Source: three introductions to control and the statuses that they bring.
+LEARN_SECONDS = 2.5
+# How long a target that was listed, but has not spoken, counts as one that may hold
+# a flow. Unit: seconds. Source: as for one that falls silent, and its way here.
+EXPECT_SECONDS = 3.0
+
 Action = Send | Reset
 
 
@@ -43,6 +54,14 @@
     tried: frozenset[str] = frozenset()
 
 
+@dataclass(slots=True)
+class Opening:
+    """Hold an opening packet that waits for a target; times are in seconds."""
+
+    segment: Segment
+    deadline: float
+
+
 @dataclass(slots=True)
 class Counters:
     """Count what happened since the start."""
@@ -63,8 +82,12 @@
         self,
         draw: Callable[[], float],
         tell: Callable[..., None] = lambda event, **fields: None,
+        now: float = float("-inf"),
     ) -> None:
         self.routes = RouteTable()
+        self.openings: dict[bytes, Opening] = {}
+        self._expected: dict[str, float] = {}
+        self._learned_at = now + LEARN_SECONDS
         self.targets: dict[str, Target] = {}
         self.flows: dict[bytes, Flow] = {}
         self.searches: dict[bytes, Search] = {}
@@ -83,6 +106,21 @@
         self.routes = routes
         return True
 
+    def expect(self, address: str, now: float) -> None:
+        """Take the word that an agent is there, which has yet to speak."""
+        if address not in self.targets:
+            self._expected.setdefault(address, now)
+
+    def is_learning(self, now: float) -> bool:
+        """Tell whether this balancer may not know all targets yet.
+
+        It started just now, or an agent was listed that has not spoken: a flow that
+        nobody else holds may be there, and a reset would break it.
+        """
+        if now < self._learned_at and not self._has_met_all():
+            return True
+        return any(now - at < EXPECT_SECONDS for at in self._expected.values())
+
     def learn(self, address: str, status: Status, now: float) -> bool:
         """Take an agent's word; return whether its target is new or changed state."""
         known = self.targets.get(address)
@@ -95,6 +133,7 @@
             status.state,
             status.service,
         )
+        self._expected.pop(address, None)
         self._index()
         if changed:
             self._tell_event(
@@ -108,7 +147,7 @@
 
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
-        actions: list[Action] = []
+        actions = self._open_again(now)
         for key, search in tuple(self.searches.items()):
             actions += self._go_on(key, search, now)
         if now >= self._sweep_at:
@@ -175,6 +214,8 @@
     def _open(self, segment: Segment, flow: Flow | None, now: float) -> list[Action]:
         route = self.routes.find(segment.place)
         if route is None:
+            if not self.routes.version:
+                return self._hold(segment, now)
             self.counters.unroutable += 1
             return [Reset(segment, "no_route")]
         if flow is not None and flow.sequence == segment.sequence and flow.opening:
@@ -192,6 +233,8 @@
         target = None
         if len(tried) < MAX_OFFERS:
             target = choose_target(targets, tried, self._draw, now)
+        if target is None and not tried and self._is_worth_waiting(targets, now):
+            return self._hold(segment, now)
         if target is None:
             # Nobody can take it: the caller that is told at once can try again in
             # time; one that is left waiting learns it only after 1.4 s.
@@ -219,6 +262,44 @@
         self._remember(segment, target, True, tried, now)
         return [self._deliver(target.address, service, segment)]
 
+    def _hold(self, segment: Segment, now: float) -> list[Action]:
+        """Keep an opening packet until a target is known.
+
+        A caller that is reset tries again at once, and has used up its tries some
+        milliseconds later, long before a fleet that restarts is back.
+        """
+        opening = self.openings.get(segment.key)
+        if opening is not None:
+            opening.segment = segment
+        elif len(self.openings) < MAX_HELD_OPENINGS:
+            self.openings[segment.key] = Opening(segment, now + HOLD_SECONDS)
+        return []
+
+    def _open_again(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for key, opening in tuple(self.openings.items()):
+            del self.openings[key]
+            if now >= opening.deadline:
+                self.counters.refused += 1
+                actions.append(Reset(opening.segment, "no_target_in_time"))
+                continue
+            actions += self._open(opening.segment, self.flows.get(key), now)
+            if key in self.openings:
+                self.openings[key].deadline = opening.deadline
+        return actions
+
+    def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
+        """Tell whether a target may be back before the caller gives up.
+
+        Targets that drain or have gone will not; one that was lost long ago neither.
+        """
+        if self.is_learning(now):
+            return True
+        return any(target.may_return(now) for target in targets)
+
+    def _has_met_all(self) -> bool:
+        return bool(self.targets) and not self._expected
+
     def _offer_again(
         self, address: str, segment: Segment, flow: Flow | None, now: float
     ) -> list[Action]:
@@ -309,6 +390,9 @@
                 )
             return []
         del self.searches[key]
+        if self.is_learning(now):
+            self._tell_event("flow_not_found", flow=key.hex(), silent="learning")
+            return []
         self.counters.reset += 1
         self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
@@ -337,6 +421,9 @@
     # What is forgotten.
 
     def _forget(self, now: float) -> None:
+        for address, at in tuple(self._expected.items()):
+            if now - at >= FORGET_SECONDS:
+                del self._expected[address]
         silent = [
             address
             for address, target in self.targets.items()
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -14,6 +14,9 @@
 # How long a pause that was announced may last, the stop and the start of an agent.
 # Unit: seconds. Source: a stop takes at most 6 s, a start 1-2 s.
 PAUSE_SECONDS = 9.0
+# How long a target that is silent or absent is worth waiting for. Unit: seconds.
+# Source: a process that was killed is back after 2-3 s.
+RETURN_SECONDS = 4.0
 # How long a silent agent is remembered at all, for flows that it may still hold.
 # Unit: seconds. Source: above the longest cut seen (8 s).
 FORGET_SECONDS = 20.0
@@ -48,6 +51,13 @@
         limit = PAUSE_SECONDS if paused else LOST_SECONDS
         return now - self.heard_at >= limit
 
+    def may_return(self, now: float) -> bool:
+        """Tell whether new flows may go there again within a second or two."""
+        state = self.status.state
+        if state in (TargetState.DRAINING, TargetState.GONE):
+            return False
+        return now - self.heard_at < RETURN_SECONDS
+
     def estimate_load(self, now: float) -> float:
         """Return the requests per slot, with the flows placed since the last word."""
         status = self.status
--- a/ibisshunt/core.py
+++ b/ibisshunt/core.py
@@ -4,11 +4,10 @@
 from typing import Any
 
 import gevent
-from absl import logging
 from gevent.event import Event
 
 from .exceptions import Fault, ServiceNotFoundError
-from .helpers.logging import format_event
+from .helpers.logging import log_failure, warn_event
 
 Unload = Callable[[], None]
 
@@ -83,7 +82,7 @@
         except Exception as error:
             # A task that died unseen leaves a process that looks healthy and does
             # nothing. Ending the whole process lets its lease run out.
-            logging.exception(format_event("task_failed", task=name, error=error))
+            log_failure("task_failed", task=name, error=error)
             self.request_stop()
 
     def dump(self) -> dict[str, Any]:
@@ -116,4 +115,4 @@
         try:
             unload()
         except Exception as error:
-            logging.error(format_event("unload_failed", service=name, error=error))
+            warn_event("unload_failed", service=name, error=error)
--- a/ibisshunt/helpers/datagrams.py
+++ b/ibisshunt/helpers/datagrams.py
@@ -1,10 +1,11 @@
 """Receive and send datagrams without starving the other tasks of the process."""
 
+import socket
+import sys
 from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
-from gevent import monkey
 from gevent.socket import wait_read
 
 from ..const import MAX_DATAGRAM_BYTES
@@ -20,6 +21,15 @@
 Pair = tuple[str, int]
 
 
+def _get_original(names: list[str]) -> list[Any]:
+    """Return names of the socket module as they were before gevent patched it."""
+    monkey = sys.modules.get("gevent.monkey")
+    if monkey is not None:
+        return monkey.get_original("socket", names)
+    # Programs that patch nothing are spared the import.
+    return [getattr(socket, name) for name in names]
+
+
 class DatagramSocket:
     """Own one UDP socket; use it from one process of gevent tasks.
 
@@ -28,13 +38,10 @@
     """
 
     def __init__(self, address: Address) -> None:
-        original = monkey.get_original
-        families = original("socket", ["AF_INET", "SOCK_DGRAM", "SOL_SOCKET"])
-        family, kind, level = families
-        self._socket: Any = original("socket", "socket")(family, kind)
-        receive_option, send_option = original("socket", ["SO_RCVBUF", "SO_SNDBUF"])
-        self._socket.setsockopt(level, receive_option, BUFFER_BYTES)
-        self._socket.setsockopt(level, send_option, BUFFER_BYTES)
+        (make_socket,) = _get_original(["socket"])
+        self._socket: Any = make_socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
         self._socket.setblocking(False)
         self._socket.bind(address.as_pair())
         self.address = Address(*self._socket.getsockname())
--- a/ibisshunt/helpers/decisions.py
+++ b/ibisshunt/helpers/decisions.py
@@ -1,9 +1,7 @@
 """Log decisions one line each, as many a second as can be borne."""
 
-from absl import logging
-
 from .clock import read_clock
-from .logging import format_event, log_event
+from .logging import format_event, log_event, log_line
 
 # Lines a second of one process; what is above is counted. Source: a line costs some
 # 30 microseconds, so that this many stay under 0.5% of a small host's core.
@@ -33,7 +31,7 @@
             self.left_out += 1
             return
         self._left -= 1
-        logging.info(format_event(event, **fields))
+        log_line(format_event(event, **fields))
 
     def _summarize(self, now: float) -> None:
         if self.left_out == self._told or now < self._told_at + SUMMARY_SECONDS:
--- a/ibisshunt/platform/__main__.py
+++ b/ibisshunt/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
 from ..core import Kernel
 from ..exceptions import IbisshuntError, SettingsError
-from ..helpers.logging import log_event, send_to_stdout
+from ..helpers.logging import log_event, write_plainly
 from .programs import PROGRAMS
 from .reloading import watch_settings
 from .settings import find_path, read_settings
@@ -23,7 +23,7 @@
     if len(arguments) != 1 or arguments[0] not in PROGRAMS:
         print(f"expected one of: {' '.join(PROGRAMS)}", file=sys.stderr)
         return EXIT_BAD_INPUT
-    send_to_stdout()
+    write_plainly()
     kernel = Kernel()
     gevent.signal_handler(signal.SIGTERM, kernel.request_stop)
     gevent.signal_handler(signal.SIGINT, kernel.request_stop)
--- a/ibisshunt/platform/answers.py
+++ b/ibisshunt/platform/answers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..components.forwarding.web import WebReply
+from ..components.web import WebReply
 
 DONE = WebReply("200 OK")
 NOT_FOUND = WebReply("404 Not Found")
--- a/ibisshunt/platform/endpoint.py
+++ b/ibisshunt/platform/endpoint.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..components.forwarding.agent import AgentTask
-from ..components.forwarding.web import Handle, WebReply, WebRequest
+from ..components.web import Handle, WebReply, WebRequest
 from ..coordination.forwarding.agent import Announcement
 from .answers import DONE, NOT_FOUND, explain
 
--- a/ibisshunt/platform/operator.py
+++ b/ibisshunt/platform/operator.py
@@ -2,8 +2,8 @@
 
 from returns.pipeline import is_successful
 
-from ..components.forwarding.web import Handle, WebReply, WebRequest
 from ..components.versions import VersionService
+from ..components.web import Handle, WebReply, WebRequest
 from .answers import DONE, NOT_FOUND, UNAVAILABLE, explain
 from .configuration import read_configuration
 
--- a/ibisshunt/platform/probe.py
+++ b/ibisshunt/platform/probe.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ..components.forwarding.web import Handle, WebReply, WebRequest
+from ..components.web import Handle, WebReply, WebRequest
 from .answers import DONE, NOT_FOUND, UNAVAILABLE
 
 READY_PATH = "/-/ready"
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -1,10 +1,7 @@
 """Assemble the three programs from the product's components."""
 
-import gevent
-
 from ..components.directory.inner import InnerSocket
 from ..components.directory.node import NodeDirectory
-from ..components.forwarding.web import serve
 from ..coordination.directory.messages import NodeRole
 from ..core import Kernel
 from ..helpers.logging import warn_event
@@ -12,9 +9,6 @@
 from .configuration import read_configuration
 from .packet import CODEC
 
-# How long a balancer that stops goes on forwarding. Unit: seconds. Source: the
-# routers ask twice a second and leave a node out after two misses.
-LEAVE_SECONDS = 2.2
 # Name of the service that takes new seeds.
 RELOAD = "reload"
 
@@ -22,6 +16,7 @@
 def set_up_balancer(kernel: Kernel, settings: NodeSettings) -> None:
     """Start a balancer."""
     from ..components.forwarding.balancer import BalancerTask
+    from ..components.web.small import SmallServer
     from .probe import answer_probe
 
     inner = InnerSocket(settings.inner)
@@ -40,11 +35,12 @@
     def is_ready() -> bool:
         return not kernel.is_stopping() and task.is_usable()
 
-    server = serve(settings.ready, answer_probe(is_ready))
+    server = SmallServer(settings.ready, answer_probe(is_ready))
+    server.start()
 
     def unload() -> None:
-        gevent.sleep(LEAVE_SECONDS)
-        server.stop(timeout=0)
+        task.wait_until_left()
+        server.stop()
 
     kernel.spawn("inner", inner.run)
     kernel.spawn("directory", directory.run)
@@ -58,6 +54,7 @@
 def set_up_agent(kernel: Kernel, settings: NodeSettings) -> None:
     """Start an agent."""
     from ..components.forwarding.agent import AgentTask
+    from ..components.web.small import SmallServer
     from .endpoint import answer_endpoint
 
     inner = InnerSocket(settings.inner)
@@ -76,11 +73,12 @@
     kernel.spawn("outward", task.run)
     kernel.spawn("status", task.run_status)
     kernel.register("directory", directory, dump=directory.dump)
-    server = serve(settings.control, answer_endpoint(task))
+    server = SmallServer(settings.control, answer_endpoint(task))
+    server.start()
 
     def unload() -> None:
         task.stop()
-        server.stop(timeout=0)
+        server.stop()
 
     kernel.register("agent", task, unload=unload, dump=task.dump)
     kernel.register(RELOAD, directory.contacts.take_seeds)
@@ -90,6 +88,7 @@
     """Start a control host."""
     from ..components import versions
     from ..components.directory.control import ControlDirectory
+    from ..components.web.wsgi import serve
     from .operator import answer_operator
 
     service = versions.setup(kernel, settings)
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ibisshunt.coordination.forwarding.balancer import Balancer
 from tests.forwarding_world import (
     World,
     data_segment,
@@ -282,3 +283,71 @@
     place = bytes((198, 18, 0, 9, 1, 187))
     world.send(FIRST, open_segment(make_key(place=place)))
     assert [reset.reason for reset in world.resets] == ["no_route"]
+
+
+def test_a_balancer_that_has_just_started_resets_no_flow_that_it_cannot_know():
+    # A balancer restarts. Callers' packets reach it before all agents have: the agent
+    # of an open flow is listed by control, but has not spoken yet. "Nobody holds it"
+    # would be wrong; the packet is dropped, and its copy finds the target.
+    world = World(targets=3)
+    address, number = world.open(FIRST)
+    fresh = Balancer(world.random.random, now=world.now)
+    world.balancers[SECOND] = fresh
+    fresh.take_routes(make_table())
+    for known, agent in world.agents.items():
+        fresh.expect(known, world.now)
+        if known != address:
+            fresh.learn(known, agent.report(world.now), world.now)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert not world.resets
+    world.wait(0.5)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 1
+    assert not world.resets
+
+
+def test_a_fleet_that_restarts_keeps_opening_packets_until_it_can_place_them():
+    # All processes were killed. A balancer is back before it has a configuration and
+    # before any agent speaks. A reset would use up the caller's tries within some
+    # milliseconds; the opening packet waits and is placed once a target is known.
+    world = World(targets=2)
+    world.balancers[FIRST] = fresh = Balancer(world.random.random, now=world.now)
+    world.silent = set(world.agents)
+    world.send(FIRST, open_segment(make_key()))
+    world.wait(0.2)
+    fresh.take_routes(make_table())
+    world.wait(0.1)
+    assert not world.to_callers
+    world.silent.clear()
+    world.wait(0.5)
+    assert len(world.to_callers) == 1
+    assert not world.resets
+
+
+def test_an_opening_packet_does_not_wait_for_ever():
+    # Nobody comes back: the caller is told after a second, in time to try again.
+    world = World(targets=2)
+    world.balancers[FIRST] = Balancer(world.random.random, now=world.now)
+    world.silent = set(world.agents)
+    world.send(FIRST, open_segment(make_key()))
+    world.wait(1.2)
+    assert [reset.reason for reset in world.resets] == ["no_target_in_time"]
+
+
+def test_an_opening_packet_does_not_wait_for_targets_that_have_gone():
+    world = World(targets=2)
+    for address in world.agents:
+        world.beat(address, number=2, draining=True)
+    world.tell_all()
+    world.send(FIRST, open_segment(make_key()))
+    assert [reset.reason for reset in world.resets] == ["no_target"]
+
+
+def test_copies_of_a_held_opening_packet_open_one_flow():
+    world = World(targets=2)
+    world.balancers[FIRST] = Balancer(world.random.random, now=world.now)
+    world.balancers[FIRST].take_routes(make_table())
+    for _ in range(3):
+        world.send(FIRST, open_segment(make_key()))
+    world.wait(0.6)
+    assert len(world.to_callers) == 1
--- a/tests/docs/test_reference_pages.py
+++ b/tests/docs/test_reference_pages.py
@@ -20,7 +20,7 @@
     "tls": settings.TlsSettings,
     "standalone": settings.StandaloneSettings,
 }
-LOGGERS = ("log_event", "warn_event")
+LOGGERS = ("log_event", "warn_event", "log_failure")
 TELLERS = ("_tell_event", "tell_event")
 
 
