--- a/ibisshunt/components/consensus/__init__.py
+++ b/ibisshunt/components/consensus/__init__.py
@@ -29,7 +29,7 @@
 
 from ...core import Kernel
 from ...exceptions import Fault, StorageError
-from ...settings import ControlSettings
+from ...model.settings import ControlSettings
 from ..storage import DiskFiles, Recovered, Store
 from .driver import StateMachine
 from .replicated_log import Options, ReplicatedLog
@@ -53,11 +53,11 @@
     others = {n: found for n, found in settings.peers.items() if n != settings.name}
     settings = replace(settings, peers=others)
     folder = Path(settings.data_folder)
-    store = Store(DiskFiles(folder, _run_in_thread))
+    options = options or Options()
+    pause = gevent.sleep if options.wait_for_room else None
+    store = Store(DiskFiles(folder, _run_in_thread, pause))
     recovered = _recover(store, folder, settings.name)
-    log = ReplicatedLog(
-        settings, machine, store, recovered, kernel.spawn, options or Options()
-    )
+    log = ReplicatedLog(settings, machine, store, recovered, kernel.spawn, options)
     name = f"{SERVICE}-{settings.name}" if SERVICE in kernel.names() else SERVICE
     kernel.register(name, log, log.stop, lambda: dump_log(log))
     if "metrics" in kernel.names():
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -26,8 +26,8 @@
 from ...helpers.clock import read_clock
 from ...helpers.mailbox import Mailbox
 from ...model.address import Address, parse_address
+from ...model.settings import ControlSettings
 from ...protocol.caller import Caller
-from ...settings import ControlSettings
 from ..storage import Recovered, Store
 from .driver import Driver, StateMachine
 from .forwarding import Forwarder
@@ -58,7 +58,8 @@
     """Hold what tests and embedders may change.
 
     ``may_found`` tells whether a host with an empty disk may found a cluster,
-    ``admit_unknown`` whether hosts that no settings name may join.
+    ``admit_unknown`` whether hosts that no settings name may join,
+    ``wait_for_room`` whether a full disk is waited for instead of ending the process.
     """
 
     consensus: ConsensusSettings = ConsensusSettings()
@@ -67,6 +68,7 @@
     snapshot_entries: int = 1_000
     may_found: bool = True
     admit_unknown: bool = False
+    wait_for_room: bool = False
 
 
 class ReplicatedLog:
--- a/ibisshunt/components/consensus/report.py
+++ b/ibisshunt/components/consensus/report.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from ...coordination.consensus import has_fresh_quorum
-from ...helpers.metrics import Sample, SampleKind
+from ...helpers.samples import Sample, SampleKind
 from .replicated_log import ReplicatedLog, read_clock
 
 
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -26,7 +26,7 @@
 HELLO_SECONDS = 0.7
 # How often while it knows nobody. Unit: seconds. Source: a start should take less
 # than a second once a control host answers.
-FIRST_HELLO_SECONDS = 0.15
+FIRST_HELLO_SECONDS = 0.1
 TICK_SECONDS = 0.1
 # A control host was heard lately. Unit: seconds. Source: three introductions.
 IN_TOUCH_SECONDS = 2.2
--- a/ibisshunt/components/storage/files.py
+++ b/ibisshunt/components/storage/files.py
@@ -9,9 +9,14 @@
 from typing import Any, Protocol
 
 from ...exceptions import Fault, StorageError
+from ...helpers.logging import log_event, warn_event
 
 LOCK_NAME = "lock"
+# How often a write to a full disk is tried again. Unit: seconds. Source: the host is
+# out of service meanwhile, and a heartbeat of consensus takes 0.2 s.
+FULL_PAUSE_SECONDS = 0.1
 Run = Callable[[Callable[..., Any], tuple[Any, ...]], Any]
+Pause = Callable[[float], None]
 
 
 class Files(Protocol):
@@ -61,12 +66,16 @@
     """Keep files in a folder on disk, locked against other processes.
 
     ``run`` executes a blocking sync, for example in a thread pool so that other tasks
-    go on meanwhile.
+    go on meanwhile. With ``pause``, which waits for so many seconds, a write to a full
+    disk is tried until there is room; without it raises StorageError.
     """
 
-    def __init__(self, folder: Path, run: Run = run_here) -> None:
+    def __init__(
+        self, folder: Path, run: Run = run_here, pause: Pause | None = None
+    ) -> None:
         self._folder = folder
         self._run = run
+        self._pause = pause
         self._handles: dict[str, int] = {}
         try:
             folder.mkdir(parents=True, exist_ok=True)
@@ -96,7 +105,29 @@
             return (self._folder / name).read_bytes()
 
     def append(self, name: str, data: bytes) -> None:
-        """Write at the end; a write that fails is cut off again."""
+        """Write at the end; a write that fails is cut off again.
+
+        A host that waits for room promises nothing meanwhile and answers nobody, as
+        if it were cut off: the others elect a leader that can write. Ending the
+        process instead would bring nothing back sooner.
+        """
+        told = False
+        while True:
+            try:
+                self._append_once(name, data)
+            except StorageError as error:
+                if self._pause is None or not _is_full(error):
+                    raise
+                if not told:
+                    warn_event("disk_full_waiting", file=name, bytes=len(data))
+                told = True
+                self._pause(FULL_PAUSE_SECONDS)
+                continue
+            if told:
+                log_event("disk_full_over", file=name)
+            return
+
+    def _append_once(self, name: str, data: bytes) -> None:
         handle = self._open(name)
         size = os.fstat(handle).st_size
         try:
@@ -178,6 +209,11 @@
             os.close(handle)
 
 
+def _is_full(error: StorageError) -> bool:
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.ENOSPC
+
+
 def _explain(step: str, path: str, error: OSError) -> StorageError:
     reason = error.strerror or str(error)
     if error.errno == errno.ENOSPC:
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -15,14 +15,22 @@
 from ...helpers.logging import log_event
 from ...model.address import Address
 from ...model.node import NodeSettings
+from ...model.settings import ControlSettings
 from ...protocol.framed import FramedChannel, FramedServer
-from ...settings import ControlSettings
 from .. import consensus
 from ..consensus import Options, ReplicatedLog, StateMachine
 
 # How long a change or a read may take. Unit: seconds. Source: callers go to another
 # host after a second without an answer.
 ANSWER_SECONDS = 0.9
+# How often the leader speaks, and how long it may be silent before others stand (up to
+# twice that). Unit: seconds. Source: four heartbeats; hosts are 0.5-1.5 ms apart, a
+# sync takes 2 ms and one of a slow disk 60 ms.
+HEARTBEAT_SECONDS = 0.15
+ELECTION_SECONDS = 0.6
+# How long a host that has just started waits before it stands (up to twice that).
+# Unit: seconds. Source: the hosts of a fleet start within 0.3 s of each other.
+FIRST_ELECTION_SECONDS = 0.15
 # Bytes that stay free on the disk. Source: some tens of the largest configurations,
 # so that entries of other leaders still fit on a disk of 128 MB.
 RESERVED_BYTES = 8 * 1024 * 1024
@@ -97,11 +105,17 @@
     )
     wanted = 2 * settings.losses + 1
     options = Options(
-        consensus=ConsensusSettings(kept_voters=wanted),
+        consensus=ConsensusSettings(
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            election_seconds=ELECTION_SECONDS,
+            first_election_seconds=FIRST_ELECTION_SECONDS,
+            kept_voters=wanted,
+        ),
         make_channel=FramedChannel,
         reserved_bytes=RESERVED_BYTES,
         may_found=settings.is_first_start and settings.address in settings.seeds,
         admit_unknown=True,
+        wait_for_room=True,
     )
     log = consensus.setup(kernel, control, machine, options)
     server = FramedServer(settings.inner_calls, consensus.make_handlers(log))
--- a/ibisshunt/coordination/consensus/state.py
+++ b/ibisshunt/coordination/consensus/state.py
@@ -30,11 +30,14 @@
     """Bound times (seconds), batches (entries, bytes) and the number of voters.
 
     While there are more voters than ``kept_voters``, one that was silent for
-    ``silent_seconds`` is removed; 0 leaves that to the operator.
+    ``silent_seconds`` is removed; 0 leaves that to the operator. A host that has just
+    started stands after ``first_election_seconds`` or a little later; 0 leaves it the
+    ordinary time.
     """
 
     heartbeat_seconds: float = 0.2
     election_seconds: float = 1.2
+    first_election_seconds: float = 0.0
     max_batch_entries: int = 256
     max_batch_bytes: int = 512 * 1024
     max_inflight_entries: int = 2_048
@@ -270,6 +273,11 @@
     state.commit = snapshot.index if snapshot else log.base.index
     state.synced_index = log.last_index
     reset_election_deadline(state, now)
+    first = settings.first_election_seconds
+    if first:
+        # All hosts may have lost power together, and nothing works before one leads.
+        # The pre-vote keeps a host that restarted alone from deposing a leader.
+        state.election_deadline = now + first * (1 + draw())
     return state
 
 
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -135,6 +135,9 @@
         )
         self._expected.pop(address, None)
         self._index()
+        if known is None:
+            for search in self.searches.values():
+                search.add(address, status.service)
         if changed:
             self._tell_event(
                 "target_learned",
@@ -382,17 +385,18 @@
         asked = search.ask(now, ASK_AGAIN_SECONDS)
         if asked:
             return [*asked]
-        if not search.is_over(self.targets, now):
+        is_learning = self.is_learning(now)
+        if is_learning or not search.is_over(self.targets, now):
             if now >= search.started_at + SEARCH_SECONDS:
                 del self.searches[key]
                 self._tell_event(
-                    "flow_not_found", flow=key.hex(), silent=search.silent()
+                    "flow_not_found",
+                    flow=key.hex(),
+                    silent=",".join(search.silent()) or "-",
+                    learning=is_learning,
                 )
             return []
         del self.searches[key]
-        if self.is_learning(now):
-            self._tell_event("flow_not_found", flow=key.hex(), silent="learning")
-            return []
         self.counters.reset += 1
         self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -35,6 +35,11 @@
         if len(self.held) < MAX_HELD:
             self.held.append(segment)
 
+    def add(self, address: str, service: str) -> None:
+        """Ask an agent too that was not known when the search began."""
+        self.tags.setdefault(address, make_tag(service))
+        self.asked_at = float("-inf")
+
     def find_holder(self) -> str | None:
         """Return who holds the flow, or who alone may, or None."""
         for address, answer in self.answers.items():
--- a/ibisshunt/helpers/metrics.py
+++ b/ibisshunt/helpers/metrics.py
@@ -1,28 +1,13 @@
 """Count what happens and render it for Prometheus."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Any
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from .samples import Sample, SampleKind
 
-class SampleKind(StrEnum):
-    """Name the kinds of sample."""
-
-    COUNTER = "counter"
-    GAUGE = "gauge"
-
-
-@dataclass(frozen=True, slots=True)
-class Sample:
-    """Hold one value that a task keeps as a plain number."""
-
-    name: str
-    kind: SampleKind
-    labels: dict[str, str] = field(default_factory=dict)
-    value: float = 0.0
+__all__ = ["Metrics", "Sample", "SampleKind"]
 
 
 class Metrics:
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -288,7 +288,7 @@
 def test_a_balancer_that_has_just_started_resets_no_flow_that_it_cannot_know():
     # A balancer restarts. Callers' packets reach it before all agents have: the agent
     # of an open flow is listed by control, but has not spoken yet. "Nobody holds it"
-    # would be wrong; the packet is dropped, and its copy finds the target.
+    # would be wrong; the packet waits, and reaches the target once its agent speaks.
     world = World(targets=3)
     address, number = world.open(FIRST)
     fresh = Balancer(world.random.random, now=world.now)
@@ -301,8 +301,9 @@
     world.send(SECOND, data_segment(make_key(), number))
     assert not world.resets
     world.wait(0.5)
-    world.send(SECOND, data_segment(make_key(), number))
     assert len(world.targets[address].taken) == 1
+    world.send(SECOND, data_segment(make_key(), number, 1017))
+    assert len(world.targets[address].taken) == 2
     assert not world.resets
 
 
@@ -351,3 +352,19 @@
         world.send(FIRST, open_segment(make_key()))
     world.wait(0.6)
     assert len(world.to_callers) == 1
+
+
+def test_an_agent_that_is_learned_during_a_search_is_asked_too():
+    # A balancer that has just started searches for a flow before it knows the agent
+    # that holds it. The agent is learned a moment later: the packet that waits must
+    # reach the target then, not only the caller's next copy.
+    world = World(targets=3)
+    address, number = world.open(FIRST)
+    fresh = Balancer(world.random.random, now=world.now)
+    world.balancers[SECOND] = fresh
+    fresh.take_routes(make_table())
+    world.send(SECOND, data_segment(make_key(), number))
+    assert not world.targets[address].taken
+    world.wait(0.5)
+    assert len(world.targets[address].taken) == 1
+    assert not world.resets
