--- a/ibisshunt/exceptions.py
+++ b/ibisshunt/exceptions.py
@@ -43,3 +43,11 @@
 
 class RpcError(IbisshuntError):
     """Report that a call to another process failed."""
+
+
+class AddressError(IbisshuntError):
+    """Report a text that is no address."""
+
+
+class ConfigurationError(IbisshuntError):
+    """Report a configuration that cannot be put in force."""
--- a/ibisshunt/model/address.py
+++ b/ibisshunt/model/address.py
@@ -1,11 +1,15 @@
 """Describe where a process or service listens."""
 
+from __future__ import annotations
+
 import ipaddress
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result, Success
+from ..exceptions import AddressError, Fault
 
-from ..exceptions import Fault
+if TYPE_CHECKING:
+    from returns.result import Result
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -24,15 +28,28 @@
         return (self.ip, self.port)
 
 
-def parse_address(text: str) -> Result[Address, Fault]:
-    """Read ``ip:port``; fail with what was found and what is expected."""
+def read_address(text: str) -> Address:
+    """Read ``ip:port``; raise AddressError with what was found and is expected."""
     ip, colon, port = text.rpartition(":")
     if not colon:
-        return Failure(Fault("parse address", "", f"{text!r} is not ip:port"))
+        raise AddressError(Fault("parse address", "", f"{text!r} is not ip:port"))
     try:
         ipaddress.IPv4Address(ip)
-    except ValueError:
-        return Failure(Fault("parse address", "", f"{ip!r} is not an IPv4 address"))
+    except ValueError as error:
+        reason = f"{ip!r} is not an IPv4 address"
+        raise AddressError(Fault("parse address", "", reason)) from error
     if not port.isdigit() or int(port) > 65_535:
-        return Failure(Fault("parse address", "", f"{port!r} is not a port 0-65535"))
-    return Success(Address(ip, int(port)))
+        reason = f"{port!r} is not a port 0-65535"
+        raise AddressError(Fault("parse address", "", reason))
+    return Address(ip, int(port))
+
+
+def parse_address(text: str) -> Result[Address, Fault]:
+    """Read ``ip:port``; fail with what was found and what is expected."""
+    # Here, so that a thin host which only reads its settings is spared the import.
+    from returns.result import Failure, Success
+
+    try:
+        return Success(read_address(text))
+    except AddressError as error:
+        return Failure(error.fault)
--- a/ibisshunt/platform/configuration.py
+++ b/ibisshunt/platform/configuration.py
@@ -3,10 +3,9 @@
 from ipaddress import IPv4Address
 
 import msgspec
-from returns.result import Failure, Result, Success
 
 from ..coordination.forwarding.routes import Route, RouteTable, Share
-from ..exceptions import Fault
+from ..exceptions import ConfigurationError, Fault
 
 NOT_REPEATABLE = "non_idempotent"
 
@@ -47,13 +46,13 @@
 _DECODER = msgspec.json.Decoder(_Body)
 
 
-def read_configuration(body: bytes) -> Result[RouteTable, Fault]:
-    """Return the routes, or a fault that names what is wrong."""
+def read_configuration(body: bytes) -> RouteTable:
+    """Return the routes; raise ConfigurationError that names what is wrong."""
     try:
-        found = _DECODER.decode(body)
-        return Success(_translate(found))
+        return _translate(_DECODER.decode(body))
     except (msgspec.DecodeError, ValueError) as error:
-        return Failure(Fault("read configuration", "operator", str(error)))
+        fault = Fault("read configuration", "operator", str(error))
+        raise ConfigurationError(fault) from error
 
 
 def _translate(body: _Body) -> RouteTable:
--- a/ibisshunt/platform/operator.py
+++ b/ibisshunt/platform/operator.py
@@ -4,6 +4,7 @@
 
 from ..components.versions import VersionService
 from ..components.web import Handle, WebReply, WebRequest
+from ..exceptions import ConfigurationError
 from .answers import DONE, NOT_FOUND, UNAVAILABLE, explain
 from .configuration import read_configuration
 
@@ -25,10 +26,11 @@
 
 
 def _put(service: VersionService, body: bytes) -> WebReply:
-    found = read_configuration(body)
-    if fault := found.swap().value_or(None):
-        return explain("400 Bad Request", fault.reason)
-    result = service.put(found.unwrap().version, body)
+    try:
+        found = read_configuration(body)
+    except ConfigurationError as error:
+        return explain("400 Bad Request", error.fault.reason)
+    result = service.put(found.version, body)
     if not is_successful(result):
         return explain(UNAVAILABLE, str(result.failure()))
     return DONE
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -4,6 +4,7 @@
 from ..components.directory.node import NodeDirectory
 from ..coordination.directory.messages import NodeRole
 from ..core import Kernel
+from ..exceptions import ConfigurationError
 from ..helpers.logging import warn_event
 from ..model.node import NodeSettings
 from .configuration import read_configuration
@@ -23,12 +24,14 @@
     task = BalancerTask(settings, CODEC, inner)
 
     def take(body: bytes) -> int | None:
-        found = read_configuration(body)
-        if fault := found.swap().value_or(None):
-            warn_event("configuration_refused", reason=fault.reason)
+        try:
+            found = read_configuration(body)
+        except ConfigurationError as error:
+            # Control checked it; the former stays in force on this node.
+            warn_event("configuration_refused", reason=error.fault.reason)
             return None
-        task.take_routes(found.unwrap())
-        return found.unwrap().version
+        task.take_routes(found)
+        return found.version
 
     directory = NodeDirectory(inner, NodeRole.BALANCER, settings.seeds, take, task.meet)
 
@@ -62,10 +65,13 @@
     task = AgentTask(settings, CODEC, inner, lambda: directory.contacts.list_nodes())
 
     def take(body: bytes) -> int | None:
-        found = read_configuration(body)
-        version = found.map(lambda routes: routes.version).value_or(None)
-        task.agent.version = version or task.agent.version
-        return version
+        try:
+            found = read_configuration(body)
+        except ConfigurationError as error:
+            warn_event("configuration_refused", reason=error.fault.reason)
+            return None
+        task.agent.version = found.version
+        return found.version
 
     directory = NodeDirectory(inner, NodeRole.AGENT, settings.seeds, take, task.meet)
     kernel.spawn("inner", inner.run)
--- a/ibisshunt/platform/reloading.py
+++ b/ibisshunt/platform/reloading.py
@@ -1,7 +1,6 @@
 """Take over settings that change while a program runs."""
 
 import os
-from pathlib import Path
 
 from gevent.event import Event
 
@@ -20,7 +19,7 @@
 class Reloader:
     """Own the watch over the settings file of one process."""
 
-    def __init__(self, kernel: Kernel, path: Path, settings: NodeSettings) -> None:
+    def __init__(self, kernel: Kernel, path: str, settings: NodeSettings) -> None:
         self._kernel = kernel
         self._path = path
         self._settings = settings
@@ -56,7 +55,7 @@
         log_event("settings_taken", seeds=",".join(found.seeds))
 
 
-def _read_stamp(path: Path) -> tuple[int, int]:
+def _read_stamp(path: str) -> tuple[int, int]:
     try:
         found = os.stat(path)
     except OSError:
@@ -64,7 +63,7 @@
     return (found.st_mtime_ns, found.st_size)
 
 
-def watch_settings(kernel: Kernel, path: Path, settings: NodeSettings) -> Reloader:
+def watch_settings(kernel: Kernel, path: str, settings: NodeSettings) -> Reloader:
     """Start to watch the file; return whom a signal wakes."""
     reloader = Reloader(kernel, path, settings)
     kernel.spawn("settings", reloader.run)
--- a/ibisshunt/platform/settings.py
+++ b/ibisshunt/platform/settings.py
@@ -3,13 +3,12 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from ..exceptions import Fault, SettingsError
-from ..model.address import Address, parse_address
+from ..exceptions import AddressError, Fault, SettingsError
+from ..model.address import Address, read_address
 from ..model.node import NodeSettings
 
 PATH_VARIABLE = "IBISSHUNT_NODE_FILE"
@@ -37,19 +36,20 @@
     app: str = msgspec.field(name="app", default="")
 
 
-def find_path() -> Path:
+def find_path() -> str:
     """Return where the settings file lies; raise SettingsError when none is named."""
     found = os.environ.get(PATH_VARIABLE)
     if not found:
         reason = "the variable is not set, expected the path of the settings file"
         raise SettingsError(Fault("find settings", PATH_VARIABLE, reason))
-    return Path(found)
+    return found
 
 
-def read_settings(path: Path) -> NodeSettings:
+def read_settings(path: str) -> NodeSettings:
     """Return the settings; raise SettingsError with the field and what is expected."""
     try:
-        found = tomllib.loads(path.read_text())
+        with open(path, "rb") as stream:
+            found = tomllib.load(stream)
         file = msgspec.convert(found, _File)
     except OSError as error:
         raise _explain(path, error.strerror or str(error)) from error
@@ -58,7 +58,7 @@
     return _translate(path, file)
 
 
-def _translate(path: Path, file: _File) -> NodeSettings:
+def _translate(path: str, file: _File) -> NodeSettings:
     low, high = file.internal_port_range
     if high <= low:
         reason = f"InternalPortRange: found {low}-{high}, expected two ports or more"
@@ -87,16 +87,16 @@
     )
 
 
-def _find(path: Path, name: str, listen: Mapping[str, str]) -> Address | None:
+def _find(path: str, name: str, listen: Mapping[str, str]) -> Address | None:
     return _parse(path, name, listen[name]) if name in listen else None
 
 
-def _parse(path: Path, field: str, text: str) -> Address:
-    result = parse_address(text)
-    if fault := result.swap().value_or(None):
-        raise _explain(path, f"{field}: {fault.reason}")
-    return result.unwrap()
+def _parse(path: str, field: str, text: str) -> Address:
+    try:
+        return read_address(text)
+    except AddressError as error:
+        raise _explain(path, f"{field}: {error.fault.reason}") from error
 
 
-def _explain(path: Path, reason: str) -> SettingsError:
-    return SettingsError(Fault("read settings", str(path), reason))
+def _explain(path: str, reason: str) -> SettingsError:
+    return SettingsError(Fault("read settings", path, reason))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -5,9 +5,9 @@
 
 import pytest
 from hypothesis import given, strategies as st
-from returns.pipeline import is_successful
 
 from ibisshunt.coordination.forwarding.routes import Share, choose_service
+from ibisshunt.exceptions import ConfigurationError
 from ibisshunt.platform.configuration import read_configuration
 
 PLACE = bytes((198, 18, 0, 1)) + (8080).to_bytes(2, "big")
@@ -57,7 +57,7 @@
 
 
 def test_a_valid_configuration_is_read():
-    table = read_configuration(json.dumps(VALID).encode()).unwrap()
+    table = read_configuration(json.dumps(VALID).encode())
     assert table.version == 7
     route = table.find(PLACE)
     assert route.shares == (Share("huvo11a", 1),)
@@ -67,7 +67,7 @@
 
 
 def test_a_split_gives_each_service_its_part():
-    table = read_configuration(json.dumps(VALID).encode()).unwrap()
+    table = read_configuration(json.dumps(VALID).encode())
     route = table.find(SPLIT)
     chosen = [
         choose_service(route, number.to_bytes(12, "big")) for number in range(2000)
@@ -103,16 +103,19 @@
     ],
 )
 def test_an_invalid_configuration_is_refused(body):
-    assert not is_successful(read_configuration(body))
+    with pytest.raises(ConfigurationError):
+        read_configuration(body)
 
 
 @given(st.binary(max_size=200))
 def test_any_body_is_read_or_refused(body):
-    assert not is_successful(read_configuration(body))
+    with pytest.raises(ConfigurationError):
+        read_configuration(body)
 
 
 @given(st.data())
 def test_no_configuration_that_is_cut_short_is_taken(data):
     whole = json.dumps(VALID).encode()
     size = data.draw(st.integers(0, len(whole) - 1))
-    assert not is_successful(read_configuration(whole[:size]))
+    with pytest.raises(ConfigurationError):
+        read_configuration(whole[:size])
