--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -18,7 +18,13 @@
 # How often balancers hear of the target. Unit: seconds. Source: loads change with
 # each flow; a target that is silent for three of these is left out.
 STATUS_SECONDS = 0.4
-TICK_SECONDS = 0.1
+# How soon balancers hear that the requests at work have changed by a slot or more.
+# Unit: seconds, and seconds for each balancer. Source: balancers place a flow every
+# few milliseconds when load is high; the second bounds what all agents together send
+# to one thin balancer (25 balancers, 64 agents: 320 statuses a second).
+CHANGE_SECONDS = 0.08
+CHANGE_SECONDS_EACH = 0.008
+TICK_SECONDS = 0.04
 # How long a stop waits for the requests at work. Unit: seconds. Source: a stop may
 # take 6 s at most; requests take some hundred milliseconds.
 STOP_SECONDS = 2.0
@@ -56,6 +62,8 @@
         self._target = settings.target.as_pair()
         self._socket = DatagramSocket(settings.outward)
         self._status_at = 0.0
+        self._told_at = 0.0
+        self._told_active = 0
         inner.handle(Deliver, self._take_delivery)
         inner.handle(Ask, self._take_question)
 
@@ -69,14 +77,23 @@
             now = read_clock()
             if self.agent.sweep(now):
                 self.tell_all()
-            if now >= self._status_at:
+            if now >= self._status_at or self._has_changed(now):
                 self.tell_all()
             gevent.sleep(TICK_SECONDS)
 
+    def _has_changed(self, now: float) -> bool:
+        balancers = len(self._list_balancers())
+        if now < self._told_at + CHANGE_SECONDS + CHANGE_SECONDS_EACH * balancers:
+            return False
+        requests = self.agent.requests
+        return abs(requests.active - self._told_active) >= requests.slots
+
     def tell_all(self) -> None:
         """Send the present status to all balancers."""
         now = read_clock()
         self._status_at = now + STATUS_SECONDS
+        self._told_at = now
+        self._told_active = self.agent.requests.active
         status = self.agent.report(now)
         for address in self._list_balancers():
             self._inner.send(address, status)
@@ -101,7 +118,7 @@
         self.tell_all()
         deadline = read_clock() + STOP_SECONDS
         while read_clock() < deadline and self.agent.requests.active:
-            gevent.sleep(TICK_SECONDS / 2)
+            gevent.sleep(TICK_SECONDS)
         self.tell_all()
 
     def close(self) -> None:
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -112,6 +112,7 @@
             self._knows_all_at = now
         self._announced = found
         self._announced_at = now
+        self.requests.slots = max(1, found.slots)
         self._warm_at = now + found.warm_left / 1000
         before = self.state
         self.state = TargetState.DRAINING if found.draining else TargetState.OPEN
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -5,7 +5,7 @@
 
 from .messages import Answer, Deliver, Reason, Reset, Returned, Send, Status
 from .placement import FORGET_SECONDS, Target, choose_target
-from .routes import RouteTable, choose_service, make_tag
+from .routes import Route, RouteTable, choose_service, make_tag
 from .search import Search, start_search
 from .segment import Segment
 
@@ -32,6 +32,8 @@
 # seconds. Source: a caller gives an opening up after 1.4 s; a restart takes 1-2 s.
 HOLD_SECONDS = 1.0
 MAX_HELD_OPENINGS = 2_000
+# The share of a route's objective for which an opening packet waits for a free slot.
+HELD_SHARE = 0.5
 # How long after its start a balancer may not yet know all targets. Unit: seconds.
 # Source: three introductions to control and the statuses that they bring.
 LEARN_SECONDS = 2.5
@@ -56,10 +58,14 @@
 
 @dataclass(slots=True)
 class Opening:
-    """Hold an opening packet that waits for a target; times are in seconds."""
+    """Hold an opening packet that waits for a target; times are in seconds.
+
+    ``since`` is when a target could first have taken it, None before.
+    """
 
     segment: Segment
     deadline: float
+    since: float | None = None
 
 
 @dataclass(slots=True)
@@ -227,8 +233,32 @@
                 flow.seen_at = now
                 return [self._deliver(flow.address, flow.service, segment)]
         service = choose_service(route, segment.key)
+        if self._is_better_later(segment, route, service, now):
+            return self._hold(segment, now, since=now)
         return self._place(segment, service, frozenset(), now)
 
+    def _is_better_later(
+        self, segment: Segment, route: Route, service: str, now: float
+    ) -> bool:
+        """Tell whether an opening packet should wait here instead of at a target.
+
+        When every target has a queue, a flow that is bound to one now waits behind
+        that queue alone, and is turned away when it is full; here it goes wherever a
+        slot comes free first. After a restart the first target that speaks would else
+        get all that has waited. Half of the objective bounds what it can cost.
+        """
+        targets = self._by_service.get(service, [])
+        best = choose_target(targets, frozenset(), self._draw, now)
+        opening = self.openings.get(segment.key)
+        if best is None:
+            return False
+        patience = HELD_SHARE * route.objective / 1000
+        if opening is not None:
+            opening.since = now if opening.since is None else opening.since
+            if now >= min(opening.since + patience, opening.deadline):
+                return False
+        return best.estimate_wait(now) > patience
+
     def _place(
         self, segment: Segment, service: str, tried: frozenset[str], now: float
     ) -> list[Action]:
@@ -265,7 +295,9 @@
         self._remember(segment, target, True, tried, now)
         return [self._deliver(target.address, service, segment)]
 
-    def _hold(self, segment: Segment, now: float) -> list[Action]:
+    def _hold(
+        self, segment: Segment, now: float, since: float | None = None
+    ) -> list[Action]:
         """Keep an opening packet until a target is known.
 
         A caller that is reset tries again at once, and has used up its tries some
@@ -275,20 +307,20 @@
         if opening is not None:
             opening.segment = segment
         elif len(self.openings) < MAX_HELD_OPENINGS:
-            self.openings[segment.key] = Opening(segment, now + HOLD_SECONDS)
+            self.openings[segment.key] = Opening(segment, now + HOLD_SECONDS, since)
         return []
 
     def _open_again(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for key, opening in tuple(self.openings.items()):
-            del self.openings[key]
-            if now >= opening.deadline:
+            found = self._open(opening.segment, self.flows.get(key), now)
+            if found:
+                del self.openings[key]
+                actions += found
+            elif now >= opening.deadline:
+                del self.openings[key]
                 self.counters.refused += 1
                 actions.append(Reset(opening.segment, "no_target_in_time"))
-                continue
-            actions += self._open(opening.segment, self.flows.get(key), now)
-            if key in self.openings:
-                self.openings[key].deadline = opening.deadline
         return actions
 
     def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -23,6 +23,9 @@
 # What an open flow without a request adds to a target's load, in requests. Unit:
 # requests a flow. Source: a long flow is idle for about nine tenths of its time.
 IDLE_FLOW_LOAD = 0.1
+# Time of service assumed of a target that has answered nothing yet. Unit: seconds.
+# Source: the middle of the present services (5-62 ms).
+UNKNOWN_SERVICE_SECONDS = 0.03
 # Factor on the load of a target that is still cold. Source: twice as slow at most.
 COLD_FACTOR = 1.8
 
@@ -58,13 +61,25 @@
             return False
         return now - self.heard_at < RETURN_SECONDS
 
+    def count_requests(self) -> int:
+        """Return the requests at work or waiting, with flows placed since the word."""
+        placed = sum(1 for at in self.placed if at >= self.heard_at)
+        return self.status.active + placed
+
     def estimate_load(self, now: float) -> float:
-        """Return the requests per slot, with the flows placed since the last word."""
-        status = self.status
-        placed = sum(1 for at in self.placed if at > self.heard_at)
-        load = status.active + placed + IDLE_FLOW_LOAD * status.flows
-        factor = COLD_FACTOR if now < self.warm_at else 1.0
-        return factor * (load + 1) / max(1, status.slots)
+        """Return the requests per slot that a new flow would find and be."""
+        load = self.count_requests() + IDLE_FLOW_LOAD * self.status.flows
+        return self._slow_down(now) * (load + 1) / max(1, self.status.slots)
+
+    def estimate_wait(self, now: float) -> float:
+        """Return the seconds that a request of a new flow would wait for a slot."""
+        slots = max(1, self.status.slots)
+        before = max(0, self.count_requests() + 1 - slots)
+        service = self.status.service_us / 1e6 or UNKNOWN_SERVICE_SECONDS
+        return self._slow_down(now) * service * before / slots
+
+    def _slow_down(self, now: float) -> float:
+        return COLD_FACTOR if now < self.warm_at else 1.0
 
 
 def choose_target(
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -20,6 +20,7 @@
     next_inward: int | None = None
     started_at: float = 0.0
     active: bool = False
+    waited: bool = False
     name: str = ""
 
 
@@ -29,7 +30,10 @@
     def __init__(self, tell: Callable[..., None]) -> None:
         self.active = 0
         self.finished = 0
+        # Mean time of service of requests that found a free slot, in seconds: what
+        # waited tells of the queue and not of the target.
         self.mean_seconds = 0.0
+        self.slots = 1
         self._tell_event = tell
         self._exchanges: dict[bytes, Exchange] = {}
 
@@ -51,6 +55,7 @@
         if exchange.active:
             return
         exchange.active = True
+        exchange.waited = self.active >= self.slots
         exchange.started_at = now
         exchange.name = find_request_id(segment.data)
         self.active += 1
@@ -72,10 +77,8 @@
         self.active -= 1
         self.finished += 1
         taken = now - exchange.started_at
-        if self.mean_seconds:
-            self.mean_seconds += MEAN_WEIGHT * (taken - self.mean_seconds)
-        else:
-            self.mean_seconds = taken
+        if not exchange.waited:
+            self._learn(taken)
         self._tell_event(
             "request_answered",
             request=exchange.name,
@@ -85,6 +88,12 @@
             active=self.active,
         )
 
+    def _learn(self, taken: float) -> None:
+        if self.mean_seconds:
+            self.mean_seconds += MEAN_WEIGHT * (taken - self.mean_seconds)
+        else:
+            self.mean_seconds = taken
+
     def end(self, key: bytes) -> None:
         """Forget a flow."""
         exchange = self._exchanges.pop(key, None)
--- /dev/null
+++ b/tests/coordination/forwarding/test_placement.py
@@ -0,0 +1,130 @@
+"""Where a new flow goes, and when it waits, by the load patterns that it answers."""
+
+import random
+
+import pytest
+
+from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.messages import Reset, Status, TargetState
+from tests.forwarding_world import SERVICE, make_key, make_table, open_segment
+
+OBJECTIVE = 0.1
+
+
+def make_status(number=1, active=0, slots=1, service_us=50_000, flows=0, cold=0):
+    return Status(
+        1,
+        number,
+        SERVICE,
+        TargetState.OPEN,
+        slots,
+        active,
+        flows,
+        service_us,
+        cold,
+        1,
+        True,
+    )
+
+
+def make_balancer(statuses, now=10.0):
+    balancer = Balancer(random.Random(3).random)
+    balancer.take_routes(make_table())
+    for number, status in enumerate(statuses):
+        balancer.learn(f"10.0.2.{number}", status, now)
+    return balancer
+
+
+def place(balancer, port, now):
+    return [
+        action.peer
+        for action in balancer.take(open_segment(make_key(port)), now)
+        if not isinstance(action, Reset)
+    ]
+
+
+def test_the_least_loaded_target_gets_the_flow():
+    balancer = make_balancer([make_status(active=active) for active in (1, 0, 1)])
+    assert place(balancer, 40_001, 10.0) == ["10.0.2.1"]
+
+
+def test_flows_placed_just_now_count_before_the_next_word():
+    # A burst of openings arrives between two statuses of three idle targets: each
+    # target gets its part, instead of all flows going to the one that looked idle.
+    balancer = make_balancer([make_status(slots=3) for _ in range(3)])
+    placed = [place(balancer, 40_001 + number, 10.001)[0] for number in range(9)]
+    assert sorted(placed.count(f"10.0.2.{number}") for number in range(3)) == [3, 3, 3]
+
+
+def test_balancers_that_hear_the_same_do_not_choose_the_same():
+    # Seven balancers know seven idle targets. The first flow of each must not go to
+    # one target: they all heard the same statuses.
+    chosen = set()
+    for seed in range(20):
+        balancer = make_balancer([make_status() for _ in range(7)])
+        balancer._draw = random.Random(seed).random
+        chosen.update(place(balancer, 40_001, 10.0))
+    assert len(chosen) >= 5
+
+
+def test_a_cold_target_gets_less():
+    balancer = make_balancer(
+        [make_status(slots=5, cold=2000), make_status(slots=5)], now=10.0
+    )
+    placed = [place(balancer, 40_001 + number, 10.001)[0] for number in range(9)]
+    assert placed.count("10.0.2.0") < placed.count("10.0.2.1")
+
+
+def test_a_flow_waits_at_the_balancer_while_every_target_has_a_queue():
+    # All targets have four requests before their one slot: 200 ms of wait, twice the
+    # objective. The flow is kept, and goes to the target that comes free first.
+    balancer = make_balancer([make_status(active=4) for _ in range(3)])
+    assert place(balancer, 40_001, 10.0) == []
+    assert not balancer.sweep(10.01)
+    balancer.learn("10.0.2.2", make_status(number=2, active=0), 10.02)
+    assert [action.peer for action in balancer.sweep(10.02)] == ["10.0.2.2"]
+
+
+def test_a_flow_is_offered_when_half_of_its_objective_has_gone():
+    # No slot comes free: it is offered to the least loaded target, which may know
+    # better than its last word, instead of being kept until it is hopeless.
+    balancer = make_balancer([make_status(active=5), make_status(active=4)])
+    assert place(balancer, 40_001, 10.0) == []
+    assert not balancer.sweep(10.0 + OBJECTIVE / 2 - 0.01)
+    found = balancer.sweep(10.0 + OBJECTIVE / 2 + 0.01)
+    assert [action.peer for action in found] == ["10.0.2.1"]
+
+
+def test_what_waited_for_a_restart_is_spread_over_all_targets():
+    # A fleet is back after a power loss. Sixty callers have waited; the first target
+    # that speaks must not get them all, and be full, a moment before the others speak.
+    balancer = Balancer(random.Random(3).random, now=9.0)
+    balancer.take_routes(make_table())
+    for number in range(6):
+        balancer.expect(f"10.0.2.{number}", 9.0)
+    for port in range(40_000, 40_060):
+        assert place(balancer, port, 9.5) == []
+    placed = []
+    for number in range(6):
+        now = 9.6 + number * 0.005
+        balancer.learn(f"10.0.2.{number}", make_status(slots=3), now)
+        placed += [action.peer for action in balancer.sweep(now)]
+    counts = [placed.count(f"10.0.2.{number}") for number in range(6)]
+    assert max(counts) <= 8
+    placed += [action.peer for action in balancer.sweep(9.7)]
+    counts = [placed.count(f"10.0.2.{number}") for number in range(6)]
+    assert len(placed) == 60
+    assert max(counts) - min(counts) <= 3
+
+
+@pytest.mark.parametrize("state", [TargetState.DRAINING, TargetState.ABSENT])
+def test_a_target_that_is_not_open_gets_no_flow(state):
+    closed = Status(1, 1, SERVICE, state, 1, 0, 0, 1000, 0, 1, True)
+    balancer = make_balancer([closed, make_status(active=1)])
+    assert place(balancer, 40_001, 10.0) == ["10.0.2.1"]
+
+
+def test_a_target_that_has_fallen_silent_gets_no_flow():
+    balancer = make_balancer([make_status(), make_status()])
+    balancer.learn("10.0.2.1", make_status(number=2, active=3, service_us=9_000), 11.4)
+    assert place(balancer, 40_001, 11.5) == ["10.0.2.1"]
