--- a/ibisshunt/coordination/consensus/election.py
+++ b/ibisshunt/coordination/consensus/election.py
@@ -183,7 +183,7 @@
     state.heartbeat_deadline = now
     state.incoming = None
     state.progress.clear()
-    sync_progress(state)
+    sync_progress(state, now)
     # Entries of earlier terms count as committed only together with one of this
     # term: another leader could still replace them although a majority holds them.
     state.barrier_index = state.log.last_index + 1
--- a/ibisshunt/coordination/consensus/membership.py
+++ b/ibisshunt/coordination/consensus/membership.py
@@ -58,7 +58,7 @@
     return find_member(membership, state.host) is None
 
 
-def sync_progress(state: HostState) -> None:
+def sync_progress(state: HostState, now: float) -> None:
     """Keep one progress for each other member while this host leads."""
     hosts = [member.host for member in state.log.membership.members]
     for host in tuple(state.progress):
@@ -66,7 +66,7 @@
             del state.progress[host]
     for host in hosts:
         if host != state.host and host not in state.progress:
-            state.progress[host] = Progress(next=state.log.last_index + 1)
+            state.progress[host] = Progress(next=state.log.last_index + 1, known_at=now)
 
 
 def is_heard(state: HostState, host: str, now: float) -> bool:
@@ -86,7 +86,7 @@
         return
     learner = Member(event.host, event.address, voter=False)
     members = (*state.log.membership.members, learner)
-    _change(state, Membership(members), event.ticket)
+    _change(state, Membership(members), event.ticket, now)
 
 
 def remove(state: HostState, event: Remove, now: float) -> None:
@@ -95,7 +95,7 @@
     if reason:
         state.out.refused.append(Refused(event.ticket, reason))
         return
-    _change(state, _without(state.log.membership, event.host), event.ticket)
+    _change(state, _without(state.log.membership, event.host), event.ticket, now)
 
 
 def plan_change(state: HostState, now: float) -> None:
@@ -111,11 +111,11 @@
     for member in members:
         if _is_replaced(state, member):
             if not _check_removal(state, member.host, now):
-                _change(state, _without(state.log.membership, member.host), 0)
+                _change(state, _without(state.log.membership, member.host), 0, now)
                 return
             continue
         if not member.voter and _may_promote(state, member.host, now):
-            _change(state, _promote(state.log.membership, member.host), 0)
+            _change(state, _promote(state.log.membership, member.host), 0, now)
             return
     _remove_silent(state, now)
 
@@ -137,7 +137,7 @@
         if _is_silent(state, member.host, now) and not _check_removal(
             state, member.host, now
         ):
-            _change(state, _without(state.log.membership, member.host), 0)
+            _change(state, _without(state.log.membership, member.host), 0, now)
             return
 
 
@@ -145,7 +145,8 @@
     progress = state.progress.get(host)
     if progress is None:
         return False
-    heard_at = max(progress.heard_at, state.elected_at)
+    # A host that was admitted just now has had no time to answer.
+    heard_at = max(progress.heard_at, progress.known_at)
     return now - heard_at >= state.settings.silent_seconds
 
 
@@ -221,10 +222,10 @@
     return Membership(members)
 
 
-def _change(state: HostState, membership: Membership, ticket: int) -> None:
+def _change(state: HostState, membership: Membership, ticket: int, now: float) -> None:
     index = state.log.last_index + 1
     entry = Entry(index, state.term, EntryKind.MEMBERSHIP, membership=membership)
     append_entry(state, entry)
-    sync_progress(state)
+    sync_progress(state, now)
     if ticket:
         state.out.appended.append(Appended(ticket, index, state.term))
--- a/ibisshunt/coordination/consensus/state.py
+++ b/ibisshunt/coordination/consensus/state.py
@@ -185,10 +185,11 @@
 
     ``heard_at`` is the time at which the newest round that the member answered was
     sent, not the time of the answer: answers that lay in a queue prove nothing about
-    the present.
+    the present. ``known_at`` is when the leader began to send to it.
     """
 
     next: int
+    known_at: float = float("-inf")
     match: int = 0
     heard_at: float = float("-inf")
     round: int = 0
--- a/tests/coordination/consensus/test_decisions.py
+++ b/tests/coordination/consensus/test_decisions.py
@@ -43,6 +43,33 @@
     )
 
 
+def make_keeper(kept=3):
+    """Return a host that removes silent voters above ``kept``."""
+    state = make_host(term=3)
+    state.settings = ConsensusSettings(kept_voters=kept, silent_seconds=3.0)
+    return state
+
+
+def answer(state, hosts, now):
+    """Let hosts answer a heartbeat, with all of the log."""
+    handle(state, Tick(), now)
+    out = collect(state, now)
+    handle(state, Synced(state.log.last_index, state.log.last_term), now)
+    for host in hosts:
+        rounds = [
+            envelope.message.round
+            for envelope in out.messages
+            if envelope.receiver == host and isinstance(envelope.message, AppendRequest)
+        ]
+        last = state.log.last_index
+        newest = max(rounds, default=state.round)
+        give(state, host, AppendReply(state.term, True, last, 0, newest), now)
+
+
+def list_members(state):
+    return {member.host: member.voter for member in state.log.membership.members}
+
+
 def give(state, sender, message, now):
     handle(state, Received(Envelope("k", sender, "a/1", message)), now)
 
@@ -206,3 +233,51 @@
     )
     handle(state, Tick(), 10.0)
     assert state.role is Role.LEADER
+
+
+def test_a_new_learner_is_not_taken_for_silent():
+    # A host came back with an empty disk and was admitted as a learner. It has not
+    # answered yet, and was never heard. Removed at once and admitted again, for ever,
+    # it would never vote, and the next lost disk would leave no majority.
+    state = make_keeper()
+    elect(state, 10.0)
+    now = 10.0
+    while now < 20.0:
+        now += 0.2
+        answer(state, ["b/1"], now)
+    handle(state, Admit(0, "c/2", "10.0.0.3:1"), now)
+    answer(state, ["b/1"], now + 0.1)
+    answer(state, ["b/1"], now + 0.3)
+    assert list_members(state)["c/2"] is False
+    for step in range(20):
+        answer(state, ["b/1", "c/2"], now + 0.5 + step * 0.2)
+    assert list_members(state) == {"a/1": True, "b/1": True, "c/2": True}
+
+
+def test_a_host_that_another_name_replaced_is_removed():
+    # A host is gone for good, another with a new address took its place. While the
+    # old one counts, four voters need three, and one more loss stops everything.
+    state = make_keeper()
+    elect(state, 10.0)
+    now = 12.0
+    for step in range(10):
+        answer(state, ["b/1", "c/1"], 10.2 + step * 0.2)
+    handle(state, Admit(0, "d/1", "10.0.0.4:1"), now)
+    for step in range(10):
+        answer(state, ["b/1", "c/1", "d/1"], now + step * 0.2)
+    assert list_members(state)["d/1"] is True
+    now = 14.0
+    for step in range(12):
+        answer(state, ["b/1", "d/1"], now + step * 0.2)
+    assert "c/1" in list_members(state)
+    for step in range(12, 25):
+        answer(state, ["b/1", "d/1"], now + step * 0.2)
+    assert list_members(state) == {"a/1": True, "b/1": True, "d/1": True}
+
+
+def test_a_host_that_is_only_away_keeps_its_vote():
+    state = make_keeper()
+    elect(state, 10.0)
+    for step in range(100):
+        answer(state, ["b/1"], 10.2 + step * 0.2)
+    assert list_members(state) == {"a/1": True, "b/1": True, "c/1": True}
