--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -20,6 +20,9 @@
 # How often a search is asked again. Unit: seconds. Source: many round trips, and
 # shorter than a caller's first repeat (200 ms).
 ASK_AGAIN_SECONDS = 0.06
+# How long a probed target has to send a packet back that it does not hold. Unit:
+# seconds. Source: some round trips, on a link that others use too.
+PROBE_SECONDS = 0.03
 # How long silent agents are waited for. Unit: seconds. Source: a caller's packet
 # starts the next search anyway.
 SEARCH_SECONDS = 1.0
@@ -201,9 +204,6 @@
         search = self.searches.get(segment.key)
         if search is not None:
             search.answers[address] = Answer.NOT_HELD
-            if search.tried == address:
-                search.tried = ""
-                search.held.insert(0, segment)
             return self._go_on(segment.key, search, now)
         return self._search(segment, frozenset((address,)), now)
 
@@ -409,16 +409,16 @@
         return sorted(targets, key=lambda found: found.status.service not in likely)
 
     def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
-        if search.tried and now < search.tried_at + ASK_AGAIN_SECONDS:
-            return []
-        holder = search.tried or search.find_holder()
+        holder = search.find_holder(now, PROBE_SECONDS)
         if holder:
             return self._settle(key, search, holder, now)
-        asked = search.ask(now, ASK_AGAIN_SECONDS)
-        if asked:
+        if asked := search.ask(now, ASK_AGAIN_SECONDS):
             return [*asked]
         is_learning = self.is_learning(now)
-        if is_learning or not search.is_over(self.targets, now):
+        waits = is_learning or search.waits(self.targets, now)
+        if not waits and (probed := search.start_probe(now)):
+            return [self._probe(search, address) for address in probed]
+        if waits or search.has_maybe():
             if now >= search.started_at + SEARCH_SECONDS:
                 del self.searches[key]
                 self._tell_event(
@@ -433,26 +433,25 @@
         self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
 
+    def _probe(self, search: Search, address: str) -> Send:
+        packet = search.held[0].raw
+        return Send(address, Deliver(search.tags[address], packet))
+
     def _settle(
         self, key: bytes, search: Search, holder: str, now: float
     ) -> list[Action]:
         target = self.targets.get(holder)
         if target is None:
             search.answers[holder] = Answer.NOT_HELD
-            search.tried = ""
             return []
-        service = target.status.service
-        if search.answers[holder] == Answer.MAYBE and search.tried != holder:
-            # Its agent began after the flow: only the target can tell. One packet
-            # goes there, and comes back when the target does not hold the flow; the
-            # rest follows when it does not come back.
-            search.tried, search.tried_at = holder, now
-            return [self._deliver(holder, service, search.held.pop(0))]
         del self.searches[key]
         self.counters.found += 1
         self._tell_event("flow_found", flow=key.hex(), peer=holder)
         self._remember(search.last, target, False, frozenset(), now)
-        return [self._deliver(holder, service, held) for held in search.held]
+        service = target.status.service
+        # A target that was probed has the first packet already.
+        left = search.held[1:] if holder in search.probed else search.held
+        return [self._deliver(holder, service, held) for held in left]
 
     # What is forgotten.
 
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -26,8 +26,8 @@
     held: list[Segment] = field(default_factory=list)
     answers: dict[str, int] = field(default_factory=dict)
     asked_at: float = float("-inf")
-    tried: str = ""
-    tried_at: float = 0.0
+    probed: frozenset[str] = frozenset()
+    probed_at: float = 0.0
 
     def keep(self, segment: Segment) -> None:
         """Keep another packet of the flow."""
@@ -40,17 +40,38 @@
         self.tags.setdefault(address, make_tag(service))
         self.asked_at = float("-inf")
 
-    def find_holder(self) -> str | None:
-        """Return who holds the flow, or who alone may, or None."""
+    def find_holder(self, now: float, patience: float) -> str | None:
+        """Return who holds the flow, or who kept the packet it was probed with."""
         for address, answer in self.answers.items():
             if answer == Answer.HELD:
                 return address
-        if len(self.answers) < len(self.tags):
+        if not self.probed or now < self.probed_at + patience:
             return None
-        for address, answer in self.answers.items():
-            if answer == Answer.MAYBE:
-                return address
-        return None
+        kept = [found for found in self._list_maybe() if found in self.probed]
+        return kept[0] if kept else None
+
+    def start_probe(self, now: float) -> list[str]:
+        """Return whom to send the first packet, when only targets themselves know.
+
+        Their agents began after the flow may have. A target that does not hold it
+        sends the packet back; at most one keeps it. Not to be called before all agents
+        have answered that may hold the flow: strays at many targets while the right
+        one is restarting would look like a flow that is sent astray.
+        """
+        found = [
+            address for address in self._list_maybe() if address not in self.probed
+        ]
+        if found:
+            self.probed |= set(found)
+            self.probed_at = now
+        return found
+
+    def _list_maybe(self) -> list[str]:
+        return [
+            address
+            for address, answer in self.answers.items()
+            if answer == Answer.MAYBE
+        ]
 
     def ask(self, now: float, again: float) -> list[Send]:
         """Return the questions to send, when it is time to."""
@@ -63,19 +84,23 @@
             Send(address, Ask(self.tags[address], key, number)) for address in missing
         ]
 
-    def is_over(self, targets: Mapping[str, Target], now: float) -> bool:
-        """Tell whether nobody holds the flow.
+    def waits(self, targets: Mapping[str, Target], now: float) -> bool:
+        """Tell whether a silent agent may still hold the flow.
 
-        An agent that is silent may hold it. Only when it is lost, or has gone, does
-        its flow end: a reset while the target lives would break an open flow.
+        Only when it is lost, or has gone, does its flow end: a reset while the target
+        lives would break an open flow.
         """
         for address in self.silent():
             target = targets.get(address)
             if target is None or target.status.state == TargetState.GONE:
                 continue
             if not target.is_lost(now):
-                return False
-        return True
+                return True
+        return False
+
+    def has_maybe(self) -> bool:
+        """Tell whether a target may hold the flow whose agent does not know."""
+        return bool(self._list_maybe())
 
     def silent(self) -> list[str]:
         """Return the agents that have not answered."""
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -368,3 +368,36 @@
     world.wait(0.5)
     assert len(world.targets[address].taken) == 1
     assert not world.resets
+
+
+def test_flows_are_found_after_a_restart_of_all_agents_though_one_host_is_gone():
+    # All agents were killed; all but one came back. The lost one never answers: after
+    # it is taken for lost the others' targets are probed, and the flow goes on.
+    world = World(targets=4)
+    address, number = world.open(FIRST)
+    gone = next(found for found in world.agents if found != address)
+    for found in world.agents:
+        if found != gone:
+            world.agents[found] = world.make_agent()
+            world.beat(found, number=9, name="i-again" + found)
+    world.silent.add(gone)
+    world.wait(2.2)
+    world.send(SECOND, data_segment(make_key(), number))
+    world.wait(0.2)
+    assert len(world.targets[address].taken) == 1
+    assert not world.resets
+
+
+def test_a_dead_flow_is_reset_within_a_probe_after_all_agents_restarted():
+    # All agents and all targets restarted. A caller goes on with a flow that is gone:
+    # all targets are probed together, all send the packet back, and the caller is
+    # told without a wait for one target after the other.
+    world = World(targets=8)
+    _, number = world.open(FIRST)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.targets[found].flows.clear()
+        world.beat(found, number=9, name="i-again" + found)
+    world.tell_all()
+    world.send(SECOND, data_segment(make_key(), number))
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
