--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -18,7 +18,7 @@
 
 # How often searches go on and old flows are forgotten. Unit: seconds. Source: below
 # the interval at which a search is asked again.
-SWEEP_SECONDS = 0.05
+SWEEP_SECONDS = 0.02
 IDLE_SWEEP_SECONDS = 0.1
 # A balancer that stops forwards until callers have left it for this long. Unit:
 # seconds. Source: a few packets of each open flow would come in it.
@@ -117,8 +117,9 @@
 
     def _take_status(self, peer: str, status: Status) -> None:
         now = read_clock()
-        if self.balancer.learn(peer, status, now) and self.balancer.openings:
-            self._carry_out(self.balancer.sweep(now))
+        self.balancer.learn(peer, status, now)
+        if self.balancer.openings:
+            self._carry_out(self.balancer.open_again(now))
 
     def _take_returned(self, peer: str, message: Returned) -> None:
         segment = self._codec.parse_inward(message.packet)
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -30,7 +30,7 @@
 ELECTION_SECONDS = 0.6
 # How long a host that has just started waits before it stands (up to twice that).
 # Unit: seconds. Source: the hosts of a fleet start within 0.3 s of each other.
-FIRST_ELECTION_SECONDS = 0.15
+FIRST_ELECTION_SECONDS = 0.1
 # Bytes that stay free on the disk. Source: some tens of the largest configurations,
 # so that entries of other leaders still fit on a disk of 128 MB.
 RESERVED_BYTES = 8 * 1024 * 1024
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -159,7 +159,7 @@
 
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
-        actions = self._open_again(now)
+        actions = self.open_again(now)
         for key, search in tuple(self.searches.items()):
             actions += self._go_on(key, search, now)
         if now >= self._sweep_at:
@@ -207,6 +207,20 @@
             return self._go_on(segment.key, search, now)
         return self._search(segment, frozenset((address,)), now)
 
+    def open_again(self, now: float) -> list[Action]:
+        """Offer the opening packets that wait; call when a load has changed."""
+        actions: list[Action] = []
+        for key, opening in tuple(self.openings.items()):
+            found = self._open(opening.segment, self.flows.get(key), now)
+            if found:
+                del self.openings[key]
+                actions += found
+            elif now >= opening.deadline:
+                del self.openings[key]
+                self.counters.refused += 1
+                actions.append(Reset(opening.segment, "no_target_in_time"))
+        return actions
+
     def take_told(
         self, address: str, key: bytes, answer: int, now: float
     ) -> list[Action]:
@@ -245,19 +259,21 @@
         When every target has a queue, a flow that is bound to one now waits behind
         that queue alone, and is turned away when it is full; here it goes wherever a
         slot comes free first. After a restart the first target that speaks would else
-        get all that has waited. Half of the objective bounds what it can cost.
+        get all that has waited. A word on a load is some service times old: only a
+        queue that will not be gone by then counts, one as long as the objective.
         """
         targets = self._by_service.get(service, [])
         best = choose_target(targets, frozenset(), self._draw, now)
         opening = self.openings.get(segment.key)
         if best is None:
             return False
-        patience = HELD_SHARE * route.objective / 1000
+        objective = route.objective / 1000
         if opening is not None:
             opening.since = now if opening.since is None else opening.since
-            if now >= min(opening.since + patience, opening.deadline):
+            until = opening.since + HELD_SHARE * objective
+            if now >= min(until, opening.deadline):
                 return False
-        return best.estimate_wait(now) > patience
+        return best.estimate_wait(now) > objective
 
     def _place(
         self, segment: Segment, service: str, tried: frozenset[str], now: float
@@ -310,19 +326,6 @@
             self.openings[segment.key] = Opening(segment, now + HOLD_SECONDS, since)
         return []
 
-    def _open_again(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for key, opening in tuple(self.openings.items()):
-            found = self._open(opening.segment, self.flows.get(key), now)
-            if found:
-                del self.openings[key]
-                actions += found
-            elif now >= opening.deadline:
-                del self.openings[key]
-                self.counters.refused += 1
-                actions.append(Reset(opening.segment, "no_target_in_time"))
-        return actions
-
     def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
         """Tell whether a target may be back before the caller gives up.
 
