--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -291,6 +291,7 @@
         self.requests.clear()
 
     def _forget(self, now: float) -> None:
+        self.requests.sweep(now)
         over = [
             key
             for key, flow in self.flows.items()
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -10,6 +10,10 @@
 # Weight of the newest request in the mean time of service. No unit. Source: the mean
 # of about the last ten.
 MEAN_WEIGHT = 0.1
+# A request without an answer for this long does not count as load any more: its caller
+# has given it up, or it was lost. Unit: seconds. Source: the longest time in a slow
+# target behind its full queue, with a margin.
+UNANSWERED_SECONDS = 2.5
 HALF_SPACE = SEQUENCE_SPACE // 2
 
 
@@ -38,7 +42,14 @@
         self._exchanges: dict[bytes, Exchange] = {}
 
     def note_inward(self, segment: Segment, now: float) -> None:
-        """Take a packet towards the target; new data begin a request."""
+        """Take a packet towards the target; new data begin a request.
+
+        A caller that ends its flow has given up what it waited for: no answer would
+        ever come, and the request would count as load for as long as the flow is
+        remembered.
+        """
+        if segment.resets or segment.finishes:
+            self._give_up(segment.key)
         if not segment.data:
             return
         exchange = self._exchanges.get(segment.key)
@@ -94,6 +105,21 @@
         else:
             self.mean_seconds = taken
 
+    def sweep(self, now: float) -> None:
+        """Leave out requests that were never answered."""
+        for key, exchange in tuple(self._exchanges.items()):
+            if exchange.active and now - exchange.started_at >= UNANSWERED_SECONDS:
+                self._tell_event(
+                    "request_unanswered", request=exchange.name, flow=key.hex()
+                )
+                self._give_up(key)
+
+    def _give_up(self, key: bytes) -> None:
+        exchange = self._exchanges.get(key)
+        if exchange is not None and exchange.active:
+            exchange.active = False
+            self.active -= 1
+
     def end(self, key: bytes) -> None:
         """Forget a flow."""
         exchange = self._exchanges.pop(key, None)
