--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -1,6 +1,6 @@
 """Forward packets to and from the target beside one agent."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
@@ -11,9 +11,11 @@
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.decisions import DecisionLog
 from ...helpers.logging import warn_event
+from ...helpers.samples import LatencyHistogram, Sample
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
+from .samples import list_agent_samples
 
 # How often balancers hear of the target. Unit: seconds. Source: loads change with
 # each flow; a target that is silent for three of these is left out.
@@ -46,6 +48,7 @@
             raise ValueError("an agent needs the port at which callers are reached")
         now = read_clock()
         self.log = DecisionLog()
+        self.service = LatencyHistogram("ibisshunt_answer_seconds")
         self.agent = Agent(
             settings.service,
             int(now * 1000),
@@ -53,6 +56,7 @@
             now,
             self.log.tell_event,
             settings.max_flow,
+            self.service.observe,
         )
         self.unreadable = 0
         self._codec = codec
@@ -125,6 +129,10 @@
         """Close the socket."""
         self._socket.close()
 
+    def list_samples(self) -> Iterator[Sample]:
+        """Yield the samples of the metrics page."""
+        return list_agent_samples(self.agent, self.log, self.service)
+
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
         agent = self.agent
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -1,6 +1,7 @@
 """Forward callers' packets from the sockets of one balancer."""
 
 import random
+from collections.abc import Iterator
 from typing import Any
 
 import gevent
@@ -12,9 +13,11 @@
 from ...helpers.clock import read_clock
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.decisions import DecisionLog
+from ...helpers.samples import LatencyHistogram, Sample
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
+from .samples import list_balancer_samples
 
 # How often searches go on and old flows are forgotten. Unit: seconds. Source: below
 # the interval at which a search is asked again.
@@ -39,7 +42,10 @@
         if settings.packets is None:
             raise ValueError("a balancer needs an address for packets")
         self.log = DecisionLog()
-        self.balancer = Balancer(random.random, self.log.tell_event, read_clock())
+        self.held = LatencyHistogram("ibisshunt_held_opening_seconds")
+        self.balancer = Balancer(
+            random.random, self.log.tell_event, read_clock(), self.held.observe
+        )
         self.packets = 0
         self.unreadable = 0
         self._packet_at = read_clock()
@@ -93,6 +99,10 @@
         """Close the socket."""
         self._socket.close()
 
+    def list_samples(self) -> Iterator[Sample]:
+        """Yield the samples of the metrics page."""
+        return list_balancer_samples(self.balancer, self.log, self.held)
+
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
         balancer = self.balancer
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -1,5 +1,7 @@
 """Take, keep and give out complete configurations on a control host."""
 
+from collections.abc import Iterator
+
 from returns.result import Failure, Result, Success
 
 from ...coordination.consensus import ConsensusSettings, NotAccepted
@@ -12,13 +14,16 @@
 )
 from ...core import Kernel
 from ...exceptions import Fault
+from ...helpers.clock import read_clock
 from ...helpers.logging import log_event
+from ...helpers.samples import LatencyHistogram, Sample, SampleKind
 from ...model.address import Address
 from ...model.node import NodeSettings
 from ...model.settings import ControlSettings
 from ...protocol.framed import FramedChannel, FramedServer
 from .. import consensus
 from ..consensus import Options, ReplicatedLog, StateMachine
+from ..consensus.report import list_samples
 
 # How long a change or a read may take. Unit: seconds. Source: callers go to another
 # host after a second without an answer.
@@ -45,12 +50,15 @@
         self.store = store
         self._log = log
         self._wanted = wanted_voters
+        self.puts = LatencyHistogram("ibisshunt_accept_seconds")
 
     def put(self, version: int, body: bytes) -> Result[Outcome, Fault]:
         """Return once the version is accepted or known to be overtaken."""
         if fault := self._find_obstacle():
             return Failure(fault)
+        began = read_clock()
         result = self._log.propose(encode_put(version, body), ANSWER_SECONDS)
+        self.puts.observe(read_clock() - began)
         outcome = result.map(decode_outcome)
         log_event(
             "configuration_put",
@@ -70,6 +78,13 @@
         port = self._log.settings.rpc.port
         self._log.joiner.add_peers({seed: Address(seed, port) for seed in seeds})
 
+    def list_samples(self) -> Iterator[Sample]:
+        """Yield the samples of the metrics page."""
+        yield from list_samples(self._log)
+        version = self.store.version
+        yield Sample("ibisshunt_configuration_version", SampleKind.GAUGE, {}, version)
+        yield from self.puts.list_samples()
+
     def list_control(self) -> tuple[str, ...]:
         """Return the addresses of the control hosts."""
         members = self._log.driver.state.log.membership.members
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -73,12 +73,13 @@
         now: float,
         tell: Callable[..., None] = lambda event, **fields: None,
         max_flow_seconds: float = MAX_FLOW_SECONDS,
+        observe: Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self.service = service
         self.start = start
         self.state = TargetState.ABSENT
         self.flows: dict[bytes, HeldFlow] = {}
-        self.requests = RequestLog(tell)
+        self.requests = RequestLog(tell, observe)
         self.version = 0
         self.returned = 0
         self.delivered = 0
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -67,6 +67,7 @@
     """
 
     segment: Segment
+    began: float
     deadline: float
     since: float | None = None
 
@@ -92,6 +93,7 @@
         draw: Callable[[], float],
         tell: Callable[..., None] = lambda event, **fields: None,
         now: float = float("-inf"),
+        observe: Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self.routes = RouteTable()
         self.openings: dict[bytes, Opening] = {}
@@ -102,6 +104,7 @@
         self.searches: dict[bytes, Search] = {}
         self.counters = Counters()
         self._draw = draw
+        self._observe = observe
         self._tell_event = tell
         self._by_service: dict[str, list[Target]] = {}
         self._sweep_at = 0.0
@@ -135,19 +138,16 @@
         known = self.targets.get(address)
         if known is not None and _is_older(status, known, now):
             return False
-        warm_at = now + status.warm_left / 1000
-        placed = [at for at in known.placed if now - at < 0.05] if known else []
-        self.targets[address] = Target(address, status, now, warm_at, placed)
         changed = known is None or (known.status.state, known.status.service) != (
             status.state,
             status.service,
         )
-        self._expected.pop(address, None)
-        self._index()
         if known is None:
-            for search in self.searches.values():
-                search.add(address, status.service)
+            self._add(address, status, now)
+        else:
+            known.take(status, now)
         if changed:
+            self._index()
             self._tell_event(
                 "target_learned",
                 peer=address,
@@ -157,6 +157,13 @@
             )
         return changed
 
+    def _add(self, address: str, status: Status, now: float) -> None:
+        warm_at = now + status.warm_left / 1000
+        self.targets[address] = Target(address, status, now, warm_at)
+        self._expected.pop(address, None)
+        for search in self.searches.values():
+            search.add(address, status.service)
+
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
         actions = self.open_again(now)
@@ -215,6 +222,7 @@
             if found:
                 del self.openings[key]
                 actions += found
+                self._observe(now - opening.began)
             elif now >= opening.deadline:
                 del self.openings[key]
                 self.counters.refused += 1
@@ -282,7 +290,8 @@
         target = None
         if len(tried) < MAX_OFFERS:
             target = choose_target(targets, tried, self._draw, now)
-        if target is None and not tried and self._is_worth_waiting(targets, now):
+        untried = [found for found in targets if found.address not in tried]
+        if target is None and self._is_worth_waiting(untried, now):
             return self._hold(segment, now)
         if target is None:
             # Nobody can take it: the caller that is told at once can try again in
@@ -323,7 +332,9 @@
         if opening is not None:
             opening.segment = segment
         elif len(self.openings) < MAX_HELD_OPENINGS:
-            self.openings[segment.key] = Opening(segment, now + HOLD_SECONDS, since)
+            self.openings[segment.key] = Opening(
+                segment, now, now + HOLD_SECONDS, since
+            )
         return []
 
     def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -26,6 +26,9 @@
 # Time of service assumed of a target that has answered nothing yet. Unit: seconds.
 # Source: the middle of the present services (5-62 ms).
 UNKNOWN_SERVICE_SECONDS = 0.03
+# How long a flow that was placed may not show in its target's word yet. Unit: seconds.
+# Source: the handshake and the request take some round trips.
+UNTOLD_SECONDS = 0.02
 # Factor on the load of a target that is still cold. Source: twice as slow at most.
 COLD_FACTOR = 1.8
 
@@ -40,6 +43,13 @@
     warm_at: float
     placed: list[float] = field(default_factory=list)
 
+    def take(self, status: Status, now: float) -> None:
+        """Take a newer word; flows placed just now are not in it yet."""
+        self.placed = [at for at in self.placed if now - at < UNTOLD_SECONDS]
+        self.status = status
+        self.heard_at = now
+        self.warm_at = now + status.warm_left / 1000
+
     def is_candidate(self, now: float) -> bool:
         """Tell whether new flows may go there."""
         return self.status.state == TargetState.OPEN and not self.is_silent(now)
@@ -63,8 +73,7 @@
 
     def count_requests(self) -> int:
         """Return the requests at work or waiting, with flows placed since the word."""
-        placed = sum(1 for at in self.placed if at >= self.heard_at)
-        return self.status.active + placed
+        return self.status.active + len(self.placed)
 
     def estimate_load(self, now: float) -> float:
         """Return the requests per slot that a new flow would find and be."""
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -31,7 +31,12 @@
 class RequestLog:
     """Count the requests at work or waiting in one target."""
 
-    def __init__(self, tell: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        tell: Callable[..., None],
+        observe: Callable[[float], None] = lambda seconds: None,
+    ) -> None:
+        self._observe = observe
         self.active = 0
         self.finished = 0
         # Mean time of service of requests that found a free slot, in seconds: what
@@ -88,6 +93,7 @@
         self.active -= 1
         self.finished += 1
         taken = now - exchange.started_at
+        self._observe(taken)
         if not exchange.waited:
             self._learn(taken)
         self._tell_event(
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -1,19 +1,43 @@
 """Assemble the three programs from the product's components."""
 
+from collections.abc import Callable, Iterable
+
 from ..components.directory.inner import InnerSocket
 from ..components.directory.node import NodeDirectory
 from ..coordination.directory.messages import NodeRole
 from ..core import Kernel
 from ..exceptions import ConfigurationError
 from ..helpers.logging import warn_event
+from ..helpers.samples import Sample
+from ..model.address import Address
 from ..model.node import NodeSettings
 from .configuration import read_configuration
 from .packet import CODEC
 
+# Where each process shows its metrics. Source: the port that exporters of metrics use
+# by custom; the deploy file names it to the platform.
+METRICS_PORT = 9464
 # Name of the service that takes new seeds.
 RELOAD = "reload"
 
 
+def _show_metrics(
+    kernel: Kernel, settings: NodeSettings, collect: Callable[[], Iterable[Sample]]
+) -> None:
+    """Serve the metrics page; a process works without it when the port is taken."""
+    from ..components.web.metrics import answer_metrics
+    from ..components.web.small import SmallServer
+
+    address = Address(settings.address, METRICS_PORT)
+    server = SmallServer(address, answer_metrics(collect))
+    try:
+        server.start()
+    except OSError as error:
+        warn_event("metrics_not_shown", peer=address, error=error)
+        return
+    kernel.register("metrics-page", server, unload=server.stop)
+
+
 def set_up_balancer(kernel: Kernel, settings: NodeSettings) -> None:
     """Start a balancer."""
     from ..components.forwarding.balancer import BalancerTask
@@ -51,6 +75,7 @@
     kernel.spawn("sweep", task.run_sweep)
     kernel.register("directory", directory, dump=directory.dump)
     kernel.register("balancer", task, unload=unload, dump=task.dump)
+    _show_metrics(kernel, settings, task.list_samples)
     kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
@@ -87,6 +112,7 @@
         server.stop()
 
     kernel.register("agent", task, unload=unload, dump=task.dump)
+    _show_metrics(kernel, settings, task.list_samples)
     kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
@@ -105,6 +131,7 @@
     kernel.register("directory", directory, dump=directory.dump)
     server = serve(settings.control, answer_operator(service))
     kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
+    _show_metrics(kernel, settings, service.list_samples)
     kernel.register(RELOAD, service.take_seeds)
 
 
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -344,6 +344,22 @@
     assert [reset.reason for reset in world.resets] == ["no_target"]
 
 
+def test_an_opening_packet_waits_when_one_target_leaves_and_the_other_is_back_soon():
+    # One target drains, which a balancer does not know yet; the other one's agent has
+    # just restarted and has not heard it. The first refuses. The caller must not be
+    # reset for that: the second is open a moment later.
+    world = World(targets=2)
+    leaving, late = world.agents
+    world.agents[late].lose()
+    world.tell_all()
+    world.beat(leaving, number=2, draining=True)
+    world.send(FIRST, open_segment(make_key()))
+    assert not world.resets
+    world.beat(late, number=3)
+    world.wait(0.5)
+    assert [address for address, _ in world.to_callers] == [late]
+
+
 def test_copies_of_a_held_opening_packet_open_one_flow():
     world = World(targets=2)
     world.balancers[FIRST] = Balancer(world.random.random, now=world.now)
