--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -13,7 +13,15 @@
     Piece,
     Welcome,
 )
-from ...coordination.forwarding.messages import Ask, Deliver, Returned, Status, Told
+from ...coordination.forwarding.messages import (
+    Ask,
+    Deliver,
+    Known,
+    Returned,
+    Seek,
+    Status,
+    Told,
+)
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.logging import warn_event
 from ...model.address import Address
@@ -23,6 +31,8 @@
     | Returned
     | Ask
     | Told
+    | Seek
+    | Known
     | Status
     | Hello
     | Welcome
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -42,8 +42,9 @@
         seeds: tuple[str, ...],
         take_configuration: Callable[[bytes], int | None],
         meet: Callable[[str], None],
+        domain: str = "",
     ) -> None:
-        self.contacts = Contacts(role, seeds)
+        self.contacts = Contacts(role, seeds, domain)
         self.version = 0
         self._whole = b""
         self._download = Download()
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -1,14 +1,22 @@
 """Forward callers' packets from the sockets of one balancer."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
 
 from ...coordination.directory.messages import Introduce
 from ...coordination.forwarding.balancer import Action, Balancer
-from ...coordination.forwarding.messages import Reset, Returned, Send, Status, Told
+from ...coordination.forwarding.messages import (
+    Known,
+    Reset,
+    Returned,
+    Seek,
+    Send,
+    Status,
+    Told,
+)
 from ...coordination.forwarding.routes import RouteTable
 from ...helpers.clock import read_clock
 from ...helpers.datagrams import DatagramSocket
@@ -47,6 +55,8 @@
             random.random, self.log.tell_event, read_clock(), self.held.observe
         )
         self.packets = 0
+        # The directory, which knows the balancers nearby, is made after this task.
+        self.list_peers: Callable[[], tuple[str, ...]] = tuple
         self.unreadable = 0
         self._packet_at = read_clock()
         self._codec = codec
@@ -56,6 +66,8 @@
         inner.handle(Status, self._take_status)
         inner.handle(Returned, self._take_returned)
         inner.handle(Told, self._take_told)
+        inner.handle(Seek, self._take_seek)
+        inner.handle(Known, self._take_known)
 
     def run(self) -> None:
         """Serve callers until killed."""
@@ -64,6 +76,7 @@
     def run_sweep(self) -> None:
         """Go on with searches until killed."""
         while True:
+            self.balancer.peers = self.list_peers()
             busy = bool(self.balancer.searches or self.balancer.openings)
             gevent.sleep(SWEEP_SECONDS if busy else IDLE_SWEEP_SECONDS)
             self._carry_out(self.balancer.sweep(read_clock()))
@@ -88,6 +101,7 @@
         Routers that have too few nodes send packets to this one though it is not
         ready; a listener that closes then costs each caller 1.4 s.
         """
+        self.hand_over()
         started_at = read_clock()
         while (now := read_clock()) < started_at + STOP_SECONDS:
             quiet = now >= self._packet_at + QUIET_SECONDS
@@ -95,6 +109,16 @@
                 return
             gevent.sleep(QUIET_SECONDS / 4)
 
+    def hand_over(self) -> None:
+        """Tell the balancers that take over where all flows are.
+
+        Each would else have to ask every agent for every flow, at the moment when the
+        load of this balancer comes to them.
+        """
+        for message in self.balancer.list_known():
+            for peer in self.balancer.peers:
+                self._inner.send(peer, message)
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
@@ -144,6 +168,14 @@
         actions = self.balancer.take_told(peer, message.key, message.answer, now)
         self._carry_out(actions)
 
+    def _take_seek(self, peer: str, message: Seek) -> None:
+        known = self.balancer.tell_known(message, read_clock())
+        if known is not None:
+            self._inner.send(peer, known)
+
+    def _take_known(self, peer: str, message: Known) -> None:
+        self._carry_out(self.balancer.take_known(message, read_clock()))
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Send):
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -15,8 +15,10 @@
 class Contacts:
     """Own what one node knows of the others; times are in seconds."""
 
-    def __init__(self, role: NodeRole, seeds: Iterable[str]) -> None:
+    def __init__(self, role: NodeRole, seeds: Iterable[str], domain: str = "") -> None:
         self.role = role
+        self.domain = domain
+        self.peers: tuple[str, ...] = ()
         self.seeds = tuple(seeds)
         self.digest = 0
         self._control: dict[str, float] = {}
@@ -29,7 +31,7 @@
 
     def make_hello(self, version: int) -> Hello:
         """Return the introduction for the control hosts."""
-        return Hello(self.role, version, self.digest)
+        return Hello(self.role, version, self.digest, self.domain)
 
     def list_control(self, now: float) -> list[str]:
         """Return the control hosts to introduce this node to."""
@@ -58,6 +60,8 @@
                 self._nodes[node] = now
             return []
         self.digest = welcome.digest
+        # A control host that has just started knows few: its list takes nobody away.
+        self.peers = welcome.peers or self.peers
         return [node for node in welcome.nodes if self.note(node, now)]
 
     def note(self, node: str, now: float) -> bool:
--- a/ibisshunt/coordination/directory/messages.py
+++ b/ibisshunt/coordination/directory/messages.py
@@ -15,25 +15,29 @@
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """Introduce a node to a control host.
 
-    ``version`` is the configuration it holds, ``digest`` the list of nodes it knows.
+    ``version`` is the configuration it holds, ``digest`` the list of nodes it knows,
+    ``domain`` its failure domain.
     """
 
     role: int
     version: int
     digest: int
+    domain: str = ""
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """Answer Hello.
 
     ``nodes`` are the addresses that the node works with, or None when the digest says
-    that it knows them; ``control`` are the control hosts.
+    that it knows them; ``peers`` are nodes of its role and failure domain, and come
+    with ``nodes``; ``control`` are the control hosts.
     """
 
     version: int
     digest: int
     control: tuple[str, ...]
     nodes: tuple[str, ...] | None
+    peers: tuple[str, ...] = ()
 
 
 class Introduce(msgspec.Struct, frozen=True, array_like=True, tag="i"):
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -1,6 +1,6 @@
 """Remember, on a control host, the nodes that introduced themselves."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -18,6 +18,16 @@
     role: NodeRole
     version: int
     heard_at: float
+    domain: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Lists:
+    """Hold the lists for nodes of one role and failure domain."""
+
+    nodes: tuple[str, ...]
+    peers: tuple[str, ...]
+    digest: int
 
 
 class Registry:
@@ -25,8 +35,7 @@
 
     def __init__(self) -> None:
         self.nodes: dict[str, Node] = {}
-        self._lists: dict[NodeRole, tuple[tuple[str, ...], int]] = {}
-        self._list_again()
+        self._lists: dict[tuple[NodeRole, str], _Lists] = {}
 
     def take(
         self,
@@ -39,13 +48,14 @@
         """Take an introduction; return the answer."""
         role = NodeRole(hello.role)
         known = self.nodes.get(address)
-        self.nodes[address] = Node(role, hello.version, now)
-        if known is None or known.role != role:
-            self._list_again()
-        wanted = NodeRole.AGENT if role == NodeRole.BALANCER else NodeRole.BALANCER
-        nodes, digest = self._lists[wanted]
-        told = None if hello.digest == digest else nodes
-        return Welcome(version, digest, control, told)
+        self.nodes[address] = Node(role, hello.version, now, hello.domain)
+        if known is None or (known.role, known.domain) != (role, hello.domain):
+            self._lists.clear()
+        lists = self._find_lists(role, hello.domain)
+        if hello.digest == lists.digest:
+            return Welcome(version, lists.digest, control, None)
+        peers = tuple(peer for peer in lists.peers if peer != address)
+        return Welcome(version, lists.digest, control, lists.nodes, peers)
 
     def sweep(self, now: float) -> list[str]:
         """Leave silent nodes out; return their addresses."""
@@ -57,7 +67,7 @@
         for address in silent:
             del self.nodes[address]
         if silent:
-            self._list_again()
+            self._lists.clear()
         return silent
 
     def list_behind(self, version: int) -> list[str]:
@@ -66,12 +76,23 @@
             address for address, node in self.nodes.items() if node.version < version
         ]
 
-    def _list_again(self) -> None:
-        for role in NodeRole:
-            found = sorted(
-                address for address, node in self.nodes.items() if node.role == role
-            )
-            self._lists[role] = (tuple(found), make_digest(found))
+    def _find_lists(self, role: NodeRole, domain: str) -> _Lists:
+        """Return what nodes of a role and failure domain are told."""
+        found = self._lists.get((role, domain))
+        if found is None:
+            wanted = NodeRole.AGENT if role == NodeRole.BALANCER else NodeRole.BALANCER
+            nodes = self._list(lambda node: node.role == wanted)
+            peers = self._list(lambda node: (node.role, node.domain) == (role, domain))
+            if role == NodeRole.AGENT:
+                peers = ()
+            found = _Lists(nodes, peers, make_digest((*nodes, "-", *peers)))
+            self._lists[role, domain] = found
+        return found
+
+    def _list(self, is_wanted: Callable[[Node], bool]) -> tuple[str, ...]:
+        return tuple(
+            sorted(address for address, node in self.nodes.items() if is_wanted(node))
+        )
 
 
 def make_digest(addresses: Iterable[str]) -> int:
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -7,9 +7,11 @@
     NO_LIMIT,
     Answer,
     Deliver,
+    Known,
     Reason,
     Reset,
     Returned,
+    Seek,
     Send,
     Status,
 )
@@ -30,9 +32,15 @@
 # Unit: agents. Source: each costs a round trip of some milliseconds; after two all
 # targets are loaded more than their last words say, and the next one must take it.
 MAX_CORRECTIONS = 2
-# How often a search is asked again. Unit: seconds. Source: many round trips, and
-# shorter than a caller's first repeat (200 ms).
-ASK_AGAIN_SECONDS = 0.06
+# How long the balancers of the same failure domain have to answer before agents are
+# asked. Unit: seconds. Source: round trips inside a domain take well under one
+# millisecond; a thin host answers within some.
+PEER_SECONDS = 0.012
+# How long packets of a flow must have gone to a target without coming back before the
+# target is known to hold it. Unit: seconds. Source: many round trips.
+CONFIRMED_SECONDS = 0.2
+# Flows in one message between balancers. Source: what fits a packet of usual size.
+FLOWS_PER_MESSAGE = 40
 # How long a probed target has to send a packet back that it does not hold. Unit:
 # seconds. Source: some round trips, on a link that others use too.
 PROBE_SECONDS = 0.03
@@ -70,6 +78,11 @@
     opening: bool
     seen_at: float
     tried: frozenset[str] = frozenset()
+    along_at: float = float("inf")
+
+    def is_confirmed(self, now: float) -> bool:
+        """Tell whether the target surely held the flow."""
+        return now - self.along_at >= CONFIRMED_SECONDS
 
 
 @dataclass(slots=True)
@@ -113,6 +126,8 @@
         self._expected: dict[str, float] = {}
         self._learned_at = now + LEARN_SECONDS
         self.targets: dict[str, Target] = {}
+        # Balancers of the same failure domain, which routers fall back on.
+        self.peers: tuple[str, ...] = ()
         self.flows: dict[bytes, Flow] = {}
         self.searches: dict[bytes, Search] = {}
         self.counters = Counters()
@@ -221,9 +236,9 @@
             if message.reason == Reason.FULL and address in self.targets:
                 self.targets[address].correct(message.load)
             return self._offer_again(address, segment, flow, now)
-        if flow is not None and flow.address == address:
-            del self.flows[segment.key]
         search = self.searches.get(segment.key)
+        if flow is not None and flow.address == address and search is None:
+            return self._leave(segment, flow, now)
         if search is not None:
             search.answers[address] = Answer.NOT_HELD
             return self._go_on(segment.key, search, now)
@@ -407,9 +422,25 @@
         flow.opening = False
         target = self.targets.get(flow.address)
         if target is not None and not target.is_lost(now):
+            flow.along_at = min(flow.along_at, now)
             return [self._deliver(flow.address, flow.service, segment)]
+        return self._leave(segment, flow, now)
+
+    def _leave(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
+        """Go on with a flow that its target does not hold, or is lost with."""
         del self.flows[segment.key]
-        return self._search(segment, frozenset((flow.address,)), now)
+        if not flow.is_confirmed(now):
+            return self._search(segment, frozenset((flow.address,)), now)
+        # Flows never move between targets: nobody else can hold it, and asking all
+        # agents for each flow of a lost target would fill a thin host's link.
+        self.counters.reset += 1
+        self._tell_event(
+            "flow_reset",
+            flow=segment.key.hex(),
+            reason="target_gone",
+            peer=flow.address,
+        )
+        return [Reset(segment, "target_gone")]
 
     def _deliver(self, address: str, service: str, segment: Segment) -> Send:
         return Send(address, Deliver(make_tag(service), segment.raw))
@@ -429,8 +460,50 @@
         self.counters.searched += 1
         search = start_search(segment, self._list_holders(segment.key), excluded, now)
         self.searches[segment.key] = search
+        if self.peers and not excluded:
+            search.agents_at = now + PEER_SECONDS
+            return [Send(peer, Seek(segment.key)) for peer in self.peers]
         return self._go_on(segment.key, search, now)
 
+    def tell_known(self, message: Seek, now: float) -> Known | None:
+        """Answer another balancer where a flow is, when this one knows."""
+        flow = self.flows.get(message.key)
+        if flow is None or flow.opening or flow.address not in self.targets:
+            return None
+        return Known(((message.key, flow.address),))
+
+    def take_known(self, message: Known, now: float) -> list[Action]:
+        """Take another balancer's word of where flows are.
+
+        It may be wrong: the target's agent sends back what is not held there.
+        """
+        actions: list[Action] = []
+        for key, address in message.flows:
+            target = self.targets.get(address)
+            search = self.searches.get(key)
+            if target is None:
+                continue
+            if search is None:
+                self._note_flow(key, target, now)
+            elif search.answers.get(address) != Answer.NOT_HELD:
+                actions += self._settle(key, search, address, now)
+        return actions
+
+    def list_known(self) -> list[Known]:
+        """Return all flows, for the balancers that take them over at a stop."""
+        flows = [
+            (key, flow.address) for key, flow in self.flows.items() if not flow.opening
+        ]
+        return [
+            Known(tuple(flows[first : first + FLOWS_PER_MESSAGE]))
+            for first in range(0, len(flows), FLOWS_PER_MESSAGE)
+        ]
+
+    def _note_flow(self, key: bytes, target: Target, now: float) -> None:
+        if key not in self.flows and len(self.flows) < MAX_FLOWS:
+            service = target.status.service
+            self.flows[key] = Flow(target.address, service, 0, False, now)
+
     def _list_holders(self, key: bytes) -> list[Target]:
         """Return all targets that may hold a flow, those of its service first.
 
@@ -445,7 +518,7 @@
         holder = search.find_holder(now, PROBE_SECONDS)
         if holder:
             return self._settle(key, search, holder, now)
-        if asked := search.ask(now, ASK_AGAIN_SECONDS):
+        if asked := search.ask(now):
             return [*asked]
         is_learning = self.is_learning(now)
         waits = is_learning or search.waits(self.targets, now)
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -104,6 +104,18 @@
     answer: int
 
 
+class Seek(msgspec.Struct, frozen=True, array_like=True, tag="k"):
+    """Ask a balancer of the same failure domain where a flow is."""
+
+    key: bytes
+
+
+class Known(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    """Tell a balancer where flows are: keys, and the addresses of their targets."""
+
+    flows: tuple[tuple[bytes, str], ...]
+
+
 class Reset(msgspec.Struct, frozen=True):
     """Ask the task to reset the flow of a caller's segment."""
 
@@ -115,7 +127,7 @@
     """Ask the task to send a message to the node at ``peer``, an IPv4 address."""
 
     peer: str
-    message: Deliver | Returned | Ask | Told | Status
+    message: Deliver | Returned | Ask | Told | Status | Seek | Known
 
 
 class ToTarget(msgspec.Struct, frozen=True):
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -11,6 +11,11 @@
 # Packets of one flow that wait for the answer. Unit: packets. Source: an end has at
 # most 16 packets in flight.
 MAX_HELD = 16
+# How soon agents that have not answered are asked again; each time twice as long.
+# Unit: seconds. Source: many round trips, and shorter than a caller's first repeat
+# (200 ms). Without the growth the questions of thirty flows to eighty agents filled an
+# entry host's link of 2.2 Mbit/s, and no answer came through.
+FIRST_PAUSE_SECONDS = 0.06
 
 
 @dataclass(slots=True)
@@ -26,6 +31,8 @@
     held: list[Segment] = field(default_factory=list)
     answers: dict[str, int] = field(default_factory=dict)
     asked_at: float = float("-inf")
+    agents_at: float = float("-inf")
+    pause: float = FIRST_PAUSE_SECONDS
     probed: frozenset[str] = frozenset()
     probed_at: float = 0.0
 
@@ -73,11 +80,13 @@
             if answer == Answer.MAYBE
         ]
 
-    def ask(self, now: float, again: float) -> list[Send]:
+    def ask(self, now: float) -> list[Send]:
         """Return the questions to send, when it is time to."""
         missing = [address for address in self.tags if address not in self.answers]
-        if not missing or now < self.asked_at + again:
+        if not missing or now < max(self.agents_at, self.asked_at + self.pause):
             return []
+        if self.asked_at > float("-inf"):
+            self.pause *= 2
         self.asked_at = now
         key, number = self.last.key, self.last.acknowledgement
         return [
@@ -116,4 +125,5 @@
         for target in targets
         if target.address not in excluded
     }
-    return Search(segment, tags, now, [segment])
+    answers = dict.fromkeys(excluded, int(Answer.NOT_HELD))
+    return Search(segment, tags, now, [segment], answers)
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -57,7 +57,15 @@
         task.take_routes(found)
         return found.version
 
-    directory = NodeDirectory(inner, NodeRole.BALANCER, settings.seeds, take, task.meet)
+    directory = NodeDirectory(
+        inner,
+        NodeRole.BALANCER,
+        settings.seeds,
+        take,
+        task.meet,
+        settings.failure_domain,
+    )
+    task.list_peers = lambda: directory.contacts.peers
 
     def is_ready() -> bool:
         return not kernel.is_stopping() and task.is_usable()
--- a/tests/coordination/directory/test_contacts.py
+++ b/tests/coordination/directory/test_contacts.py
@@ -68,3 +68,16 @@
     assert contacts.list_nodes() == ["10.0.1.1"]
     contacts.sweep(1.0 + UNLISTED_SECONDS + 1)
     assert contacts.list_nodes() == []
+
+
+def test_a_balancer_learns_of_those_of_its_own_failure_domain():
+    registry = Registry()
+    for address, domain in (("10.0.1.1", "a"), ("10.0.1.2", "a"), ("10.0.1.3", "b")):
+        registry.take(address, Hello(NodeRole.BALANCER, 0, 0, domain), 7, CONTROL, 1.0)
+    hello = Hello(NodeRole.BALANCER, 0, 0, "a")
+    welcome = registry.take("10.0.1.1", hello, 7, CONTROL, 1.0)
+    assert welcome.peers == ("10.0.1.2",)
+    contacts = Contacts(NodeRole.BALANCER, ("10.0.0.1",), "a")
+    contacts.take("10.0.0.1", welcome, 1.0)
+    contacts.take("10.0.0.2", Welcome(7, 9, CONTROL, (), ()), 1.1)
+    assert contacts.peers == ("10.0.1.2",)
