--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -68,6 +68,24 @@
 Action = Send | Reset
 
 
+@dataclass(frozen=True, slots=True)
+class Offers:
+    """Hold who was offered a new flow, and who refused it for its load alone."""
+
+    tried: frozenset[str] = frozenset()
+    corrected: frozenset[str] = frozenset()
+
+    def add(self, address: str, reason: int) -> "Offers":
+        """Return the offers with one more refusal."""
+        corrected = self.corrected
+        if reason == Reason.FULL:
+            corrected |= {address}
+        return Offers(self.tried | {address}, corrected)
+
+
+NO_OFFERS = Offers()
+
+
 @dataclass(slots=True)
 class Flow:
     """Remember where a flow was placed; ``seen_at`` is in seconds."""
@@ -77,7 +95,7 @@
     sequence: int
     opening: bool
     seen_at: float
-    tried: frozenset[str] = frozenset()
+    offers: Offers = NO_OFFERS
     along_at: float = float("inf")
 
     def is_confirmed(self, now: float) -> bool:
@@ -235,7 +253,7 @@
         if segment.opens:
             if message.reason == Reason.FULL and address in self.targets:
                 self.targets[address].correct(message.load)
-            return self._offer_again(address, segment, flow, now)
+            return self._offer_again(address, message.reason, segment, flow, now)
         search = self.searches.get(segment.key)
         if flow is not None and flow.address == address and search is None:
             return self._leave(segment, flow, now)
@@ -287,7 +305,7 @@
         service = choose_service(route, segment.key)
         if self._is_better_later(segment, route, service, now):
             return self._hold(segment, now, since=now)
-        return self._place(segment, service, frozenset(), now)
+        return self._place(segment, service, NO_OFFERS, now)
 
     def _is_better_later(
         self, segment: Segment, route: Route, service: str, now: float
@@ -314,12 +332,20 @@
         return best.estimate_wait(now) > objective
 
     def _place(
-        self, segment: Segment, service: str, tried: frozenset[str], now: float
+        self, segment: Segment, service: str, offers: Offers, now: float
     ) -> list[Action]:
         targets = self._by_service.get(service, [])
+        tried = offers.tried
+        is_forced = len(offers.corrected) >= MAX_CORRECTIONS
         target = None
         if len(tried) < MAX_OFFERS:
             target = choose_target(targets, tried, self._draw, now)
+        if target is None and offers.corrected:
+            # The agents left are all more loaded than was believed, which is no
+            # reason to refuse the flow: the target itself decides.
+            is_forced = True
+            refused = tried - offers.corrected
+            target = choose_target(targets, refused, self._draw, now)
         untried = [found for found in targets if found.address not in tried]
         if target is None and self._is_worth_waiting(untried, now):
             return self._hold(segment, now)
@@ -347,10 +373,8 @@
             offered=len(tried),
             candidates=len(targets),
         )
-        self._remember(segment, target, True, tried, now)
-        believed = target.count_requests() - 1
-        if len(tried) >= MAX_CORRECTIONS:
-            believed = NO_LIMIT
+        self._remember(segment, target, True, offers, now)
+        believed = NO_LIMIT if is_forced else target.count_requests() - 1
         message = Deliver(make_tag(service), segment.raw, believed)
         return [Send(target.address, message)]
 
@@ -384,7 +408,12 @@
         return bool(self.targets) and not self._expected
 
     def _offer_again(
-        self, address: str, segment: Segment, flow: Flow | None, now: float
+        self,
+        address: str,
+        reason: int,
+        segment: Segment,
+        flow: Flow | None,
+        now: float,
     ) -> list[Action]:
         if flow is not None and flow.address != address:
             # A copy of the opening packet went elsewhere meanwhile.
@@ -393,15 +422,15 @@
         if route is None:
             return [Reset(segment, "no_route")]
         service = choose_service(route, segment.key)
-        tried = (flow.tried if flow else frozenset()) | {address}
-        return self._place(segment, service, tried, now)
+        offers = (flow.offers if flow else NO_OFFERS).add(address, reason)
+        return self._place(segment, service, offers, now)
 
     def _remember(
         self,
         segment: Segment,
         target: Target,
         opening: bool,
-        tried: frozenset[str],
+        offers: Offers,
         now: float,
     ) -> None:
         if len(self.flows) >= MAX_FLOWS:
@@ -412,7 +441,7 @@
             segment.sequence,
             opening,
             now,
-            tried,
+            offers,
         )
 
     # How a flow goes on.
@@ -553,7 +582,7 @@
         del self.searches[key]
         self.counters.found += 1
         self._tell_event("flow_found", flow=key.hex(), peer=holder)
-        self._remember(search.last, target, False, frozenset(), now)
+        self._remember(search.last, target, False, NO_OFFERS, now)
         service = target.status.service
         # A target that was probed has the first packet already.
         left = search.held[1:] if holder in search.probed else search.held
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -165,3 +165,15 @@
     world.wait(0.4)
     assert len(world.to_callers) == 1
     assert not world.resets
+
+
+def test_the_only_target_gets_a_flow_though_its_agent_corrected_the_belief():
+    # One target of a service is left, and its agent knows of more load than the
+    # balancer believed. Sent back, the flow has nowhere else to go: it must go there
+    # again, and not be reset.
+    world = World(targets=1, balancers=1)
+    (agent,) = world.agents.values()
+    agent.requests.active = 9
+    world.send("10.0.1.0", open_segment(make_key()))
+    assert len(world.to_callers) == 1
+    assert not world.resets
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -94,6 +94,7 @@
         self.resets = []
         self.sent = []
         self._segments = {}
+        self.tell_at = self.now
         for number in range(targets):
             self.add_target(f"10.0.2.{number}", first=100_000_000 * (number + 1))
         self.tell_all()
@@ -133,9 +134,10 @@
     def wait(self, seconds):
         """Let time go by; targets and agents speak as they do."""
         steps = max(1, int(seconds / 0.05))
-        for step in range(steps):
+        for _ in range(steps):
             self.now += seconds / steps
-            if step % 8 == 7:
+            if self.now >= self.tell_at:
+                self.tell_at = self.now + 0.4
                 for address in self.agents:
                     agent = self.agents[address]
                     if agent._announced is not None and address not in self.silent:
