--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -14,9 +14,10 @@
     Welcome,
 )
 from ...coordination.forwarding.messages import (
-    Ask,
     Deliver,
     Known,
+    OnBehalf,
+    Relay,
     Returned,
     Seek,
     Status,
@@ -29,7 +30,8 @@
 Message = (
     Deliver
     | Returned
-    | Ask
+    | Relay
+    | OnBehalf
     | Told
     | Seek
     | Known
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -6,7 +6,14 @@
 import gevent
 
 from ...coordination.forwarding.agent import Action, Agent, Announcement
-from ...coordination.forwarding.messages import Ask, Deliver, Send, ToTarget
+from ...coordination.forwarding.messages import (
+    Ask,
+    Deliver,
+    OnBehalf,
+    Relay,
+    Send,
+    ToTarget,
+)
 from ...helpers.clock import read_clock
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.decisions import DecisionLog
@@ -69,7 +76,8 @@
         self._told_at = 0.0
         self._told_load = 0
         inner.handle(Deliver, self._take_delivery)
-        inner.handle(Ask, self._take_question)
+        inner.handle(Relay, self._take_relay)
+        inner.handle(OnBehalf, self._take_relayed)
 
     def run(self) -> None:
         """Serve the target until killed."""
@@ -152,8 +160,22 @@
             return
         self._carry_out(self.agent.take(peer, message, segment, read_clock()))
 
-    def _take_question(self, peer: str, message: Ask) -> None:
-        self._inner.send(peer, self.agent.tell(message, read_clock()))
+    def _take_relay(self, peer: str, message: Relay) -> None:
+        relayed = OnBehalf(peer, message.question)
+        for address in message.to:
+            self._inner.send(address, relayed)
+
+    def _take_relayed(self, peer: str, message: OnBehalf) -> None:
+        question, now = message.question, read_clock()
+        if isinstance(question, Ask):
+            self._inner.send(message.origin, self.agent.tell(question, now))
+            return
+        segment = self._codec.parse_inward(question.packet)
+        if segment is None:
+            self.unreadable += 1
+            return
+        action = self.agent.take_probe(message.origin, question, segment, now)
+        self._carry_out(action)
 
     def _take_outward(self, data: bytes, sender: tuple[str, int]) -> None:
         segment = self._codec.parse_outward(data)
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -7,6 +7,7 @@
     Answer,
     Ask,
     Deliver,
+    Probe,
     Reason,
     Returned,
     Send,
@@ -30,6 +31,9 @@
 # How long a flow that has opened counts as a request that is about to come. Unit:
 # seconds. Source: the handshake and the request take two round trips to the caller.
 OPENING_SECONDS = 0.1
+# How long a probe may take to bounce. Unit: seconds. Source: many times what a target
+# takes to send a packet back.
+PROBED_SECONDS = 1.0
 # A target that has not been heard for so many heartbeats is taken for dead. Source:
 # two may be late together, three are not.
 MISSED_HEARTBEATS = 2.6
@@ -94,6 +98,7 @@
         self._announced_at = now
         self._former: set[str] = set()
         self._opening: dict[bytes, float] = {}
+        self._probed: dict[bytes, float] = {}
         self._warm_at = now
         self._paused = False
         self._knows_all_at = now + max_flow_seconds
@@ -240,12 +245,23 @@
         self.requests.note_outward(segment, now)
         return ToCaller(segment)
 
+    def take_probe(
+        self, origin: str, message: Probe, segment: Segment, now: float
+    ) -> Action:
+        """Take a packet that tells whether the target holds its flow."""
+        deliver = Deliver(message.tag, message.packet)
+        action = self.take(origin, deliver, segment, now)
+        if isinstance(action, Send):
+            return Send(origin, Told(segment.key, Answer.NOT_HELD))
+        self._probed[segment.key] = now
+        return action
+
     def tell(self, message: Ask, now: float) -> Told:
         """Answer whether the target holds a flow."""
         return Told(message.key, self._find_answer(message, now))
 
     def _find_answer(self, message: Ask, now: float) -> Answer:
-        if message.tag != self._tag or self.state == TargetState.GONE:
+        if self.state == TargetState.GONE:
             return Answer.NOT_HELD
         flow = self.flows.get(message.key)
         if flow is not None and flow.first is not None:
@@ -296,6 +312,8 @@
             del self.flows[segment.key]
             self.requests.end(segment.key)
         origin = ".".join(str(part) for part in segment.origin)
+        if self._probed.pop(segment.key, None) is not None:
+            return Send(origin, Told(segment.key, Answer.NOT_HELD))
         return self._return(origin, Reason.BOUNCED, segment)
 
     def _return(
@@ -334,6 +352,9 @@
             if (flow.ended_at and now - flow.ended_at >= ENDED_SECONDS)
             or now - flow.seen_at >= self._max_flow
         ]
+        for key, at in tuple(self._probed.items()):
+            if now - at >= PROBED_SECONDS:
+                del self._probed[key]
         for key in over:
             del self.flows[key]
             self.requests.end(key)
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -6,9 +6,12 @@
 from .messages import (
     NO_LIMIT,
     Answer,
+    Ask,
     Deliver,
     Known,
+    Probe,
     Reason,
+    Relay,
     Reset,
     Returned,
     Seek,
@@ -548,18 +551,21 @@
         if holder:
             return self._settle(key, search, holder, now)
         if asked := search.ask(now):
-            return [*asked]
+            question = Ask(key, search.last.acknowledgement)
+            return self._spread(asked, question, now)
         is_learning = self.is_learning(now)
         waits = is_learning or search.waits(self.targets, now)
-        if not waits and (probed := search.start_probe(now)):
-            return [self._probe(search, address) for address in probed]
+        if not waits and (probed := search.start_probe(now, PROBE_SECONDS)):
+            return self._probe(search, probed, now)
         if waits or search.has_maybe():
             if now >= search.started_at + SEARCH_SECONDS:
                 del self.searches[key]
+                silent = search.silent()
                 self._tell_event(
                     "flow_not_found",
                     flow=key.hex(),
-                    silent=",".join(search.silent()) or "-",
+                    silent=len(silent),
+                    first=",".join(silent[:3]) or "-",
                     learning=is_learning,
                 )
             return []
@@ -568,9 +574,31 @@
         self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
 
-    def _probe(self, search: Search, address: str) -> Send:
+    def _probe(
+        self, search: Search, probed: dict[int, tuple[str, ...]], now: float
+    ) -> list[Action]:
         packet = search.held[0].raw
-        return Send(address, Deliver(search.tags[address], packet))
+        actions: list[Action] = []
+        for tag, addresses in probed.items():
+            actions += self._spread(addresses, Probe(tag, packet), now)
+        return actions
+
+    def _spread(
+        self, to: tuple[str, ...], question: Ask | Probe, now: float
+    ) -> list[Action]:
+        """Send one question to many agents through one of them.
+
+        The questions about a hundred flows to eighty agents, sent from here, kept a
+        link of 2.2 Mbit/s full for good: no new flow got through, callers repeated
+        their packets, and each repeat asked again.
+        """
+        able = [target for target in self.targets.values() if not target.is_silent(now)]
+        if not able:
+            able = list(self.targets.values())
+        if not able:
+            return []
+        relay = able[int(self._draw() * len(able))]
+        return [Send(relay.address, Relay(to, question))]
 
     def _settle(
         self, key: bytes, search: Search, holder: str, now: float
@@ -585,7 +613,7 @@
         self._remember(search.last, target, False, NO_OFFERS, now)
         service = target.status.service
         # A target that was probed has the first packet already.
-        left = search.held[1:] if holder in search.probed else search.held
+        left = search.held[1:] if search.probes else search.held
         return [self._deliver(holder, service, held) for held in left]
 
     # What is forgotten.
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -90,13 +90,45 @@
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="a"):
-    """Ask an agent whether its target holds a flow."""
+    """Ask an agent whether its target holds a flow, of whatever service.
+
+    ``acknowledgement`` is the caller's: it tells targets apart that both answered one
+    opening packet.
+    """
 
-    tag: int
     key: bytes
     acknowledgement: int
 
 
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag="b"):
+    """Hand a packet to a target of the service ``tag`` to learn whether it holds it.
+
+    The answer is Told when it does not, and silence when it does: the packet itself
+    need not come back, since the balancer keeps it.
+    """
+
+    tag: int
+    packet: bytes
+
+
+class Relay(msgspec.Struct, frozen=True, array_like=True, tag="y"):
+    """Ask an agent to send a question on to other agents.
+
+    Entry hosts have thin links and agents have not: one copy leaves the balancer
+    instead of one for each agent.
+    """
+
+    to: tuple[str, ...]
+    question: Ask | Probe
+
+
+class OnBehalf(msgspec.Struct, frozen=True, array_like=True, tag="z"):
+    """Bring a relayed question; the answer goes to the balancer at ``origin``."""
+
+    origin: str
+    question: Ask | Probe
+
+
 class Told(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     """Answer Ask."""
 
@@ -127,7 +159,7 @@
     """Ask the task to send a message to the node at ``peer``, an IPv4 address."""
 
     peer: str
-    message: Deliver | Returned | Ask | Told | Status | Seek | Known
+    message: Deliver | Returned | Relay | Told | Status | Seek | Known
 
 
 class ToTarget(msgspec.Struct, frozen=True):
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .messages import Answer, Ask, Send, TargetState
+from .messages import Answer, TargetState
 from .placement import Target
 from .routes import make_tag
 from .segment import Segment
@@ -11,6 +11,9 @@
 # Packets of one flow that wait for the answer. Unit: packets. Source: an end has at
 # most 16 packets in flight.
 MAX_HELD = 16
+# How often a flow's targets are probed before the first that kept silent is believed.
+# Source: three datagrams in a row are not lost on any link that still works.
+MAX_PROBES = 3
 # How soon agents that have not answered are asked again; each time twice as long.
 # Unit: seconds. Source: many round trips, and shorter than a caller's first repeat
 # (200 ms). Without the growth the questions of thirty flows to eighty agents filled an
@@ -33,8 +36,8 @@
     asked_at: float = float("-inf")
     agents_at: float = float("-inf")
     pause: float = FIRST_PAUSE_SECONDS
-    probed: frozenset[str] = frozenset()
-    probed_at: float = 0.0
+    probes: int = 0
+    probed_at: float = float("-inf")
 
     def keep(self, segment: Segment) -> None:
         """Keep another packet of the flow."""
@@ -52,24 +55,31 @@
         for address, answer in self.answers.items():
             if answer == Answer.HELD:
                 return address
-        if not self.probed or now < self.probed_at + patience:
+        if not self.probes or now < self.probed_at + patience:
             return None
-        kept = [found for found in self._list_maybe() if found in self.probed]
-        return kept[0] if kept else None
-
-    def start_probe(self, now: float) -> list[str]:
-        """Return whom to send the first packet, when only targets themselves know.
-
-        Their agents began after the flow may have. A target that does not hold it
-        sends the packet back; at most one keeps it. Not to be called before all agents
-        have answered that may hold the flow: strays at many targets while the right
-        one is restarting would look like a flow that is sent astray.
+        kept = self._list_maybe()
+        # At most one can hold it: while more are silent, probes were lost.
+        if len(kept) == 1 or (kept and self.probes >= MAX_PROBES):
+            return kept[0]
+        return None
+
+    def start_probe(self, now: float, patience: float) -> dict[int, tuple[str, ...]]:
+        """Return whom to send the first packet, by service tag.
+
+        Used when only targets themselves know, because their agents began after the
+        flow may have. A target that does not hold it sends the packet back; at most one
+        keeps it. Not to be called before all agents have answered that may hold the
+        flow: strays at many targets while the right one is restarting would look like
+        a flow that is sent astray.
         """
-        found = [
-            address for address in self._list_maybe() if address not in self.probed
-        ]
+        if self.probes >= MAX_PROBES or now < self.probed_at + patience:
+            return {}
+        found: dict[int, tuple[str, ...]] = {}
+        for address in self._list_maybe():
+            tag = self.tags[address]
+            found[tag] = (*found.get(tag, ()), address)
         if found:
-            self.probed |= set(found)
+            self.probes += 1
             self.probed_at = now
         return found
 
@@ -80,18 +90,15 @@
             if answer == Answer.MAYBE
         ]
 
-    def ask(self, now: float) -> list[Send]:
-        """Return the questions to send, when it is time to."""
-        missing = [address for address in self.tags if address not in self.answers]
+    def ask(self, now: float) -> tuple[str, ...]:
+        """Return the agents to ask, when it is time to."""
+        missing = tuple(self.silent())
         if not missing or now < max(self.agents_at, self.asked_at + self.pause):
-            return []
+            return ()
         if self.asked_at > float("-inf"):
             self.pause *= 2
         self.asked_at = now
-        key, number = self.last.key, self.last.acknowledgement
-        return [
-            Send(address, Ask(self.tags[address], key, number)) for address in missing
-        ]
+        return missing
 
     def waits(self, targets: Mapping[str, Target], now: float) -> bool:
         """Tell whether a silent agent may still hold the flow.
--- a/soak/command.py
+++ b/soak/command.py
@@ -32,11 +32,12 @@
 @click.option("--seeds", default=1, show_default=True, help="How many seeds.")
 @click.option("--seconds", default=20.0, show_default=True, help="Length of a run.")
 @click.option("--planned", is_flag=True, help="Planned faults alone.")
-def main(seed, seeds, seconds, planned):
+@click.option("--untimed", is_flag=True, help="Leave out promises bound to a time.")
+def main(seed, seeds, seconds, planned, untimed):
     """Run the programs under seeded faults; exit with 1 when a promise was broken."""
     failed = 0
     for number in range(seed, seed + seeds):
-        record, plan, folder = run_once(number, seconds, planned)
+        record, plan, folder = run_once(number, seconds, planned, timed=not untimed)
         failed += bool(record.broken)
         click.echo(
             f"seed={number} faults={len(plan)} answers={record.answers} "
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -501,4 +501,20 @@
     while world.now < began + 0.9:
         world.now += 0.02
         asked.extend(fresh.sweep(world.now))
-    assert len(asked) <= 5 * 20
+    assert len(asked) <= 5
+
+
+def test_a_search_costs_a_thin_host_few_packets():
+    # Everything restarted, and a hundred flows are looked for. Asked and probed one by
+    # one, eighty targets would take eighty copies of each packet; agents spread them.
+    world = World(targets=40)
+    _, number = world.open(FIRST)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.targets[found].flows.clear()
+        world.beat(found, number=9, name="i-again" + found)
+    world.tell_all()
+    world.sent.clear()
+    world.send(SECOND, data_segment(make_key(), number))
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
+    assert len(world.sent) == 2
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -8,11 +8,13 @@
 from ibisshunt.coordination.forwarding.messages import (
     Ask,
     Deliver,
+    Relay,
     Reset,
     Returned,
     Seek,
     Send,
     ToCaller,
+    Told,
     ToTarget,
 )
 from ibisshunt.coordination.forwarding.routes import Route, RouteTable, Share
@@ -184,19 +186,32 @@
                 found = self.balancers[balancer].take_known(known, self.now)
                 self.carry_out(balancer, found)
             return
-        agent = self.agents[action.peer]
-        if isinstance(action.message, Ask):
-            told = agent.tell(action.message, self.now)
-            found = self.balancers[balancer].take_told(
-                action.peer, told.key, told.answer, self.now
-            )
-            self.carry_out(balancer, found)
+        if isinstance(action.message, Relay):
+            for address in action.message.to:
+                if address not in self.silent and address in self.agents:
+                    self._answer(balancer, address, action.message.question)
             return
+        agent = self.agents[action.peer]
         assert isinstance(action.message, Deliver)
         segment = self._segments[action.message.packet]
         answer = agent.take(balancer, action.message, segment, self.now)
         self._follow(balancer, action.peer, answer, segment)
 
+    def _answer(self, balancer, address, question):
+        agent = self.agents[address]
+        if isinstance(question, Ask):
+            self._tell(balancer, address, agent.tell(question, self.now))
+            return
+        segment = self._segments[question.packet]
+        answer = agent.take_probe(balancer, question, segment, self.now)
+        self._follow(balancer, address, answer, segment)
+
+    def _tell(self, balancer, address, told):
+        found = self.balancers[balancer].take_told(
+            address, told.key, told.answer, self.now
+        )
+        self.carry_out(balancer, found)
+
     def _follow(self, balancer, address, answer, segment):
         if isinstance(answer, ToTarget):
             origin = bytes(int(part) for part in answer.origin.split("."))
@@ -206,6 +221,8 @@
                 self._follow(balancer, address, answer, segment)
         elif isinstance(answer, ToCaller):
             self.to_callers.append((address, answer.segment))
+        elif isinstance(answer.message, Told):
+            self._tell(answer.peer, address, answer.message)
         elif isinstance(answer.message, Returned):
             found = self.balancers[answer.peer].take_returned(
                 address, answer.message, segment, self.now
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,10 +1,13 @@
 """A short seeded soak of the real programs, and the checks that it rests on."""
 
+import subprocess
+import sys
+
 import pytest
 
-from soak.command import run_once
 from soak.plan import PLANNED, draw_plan
 from soak.promises import Record
+from soak.standin import ROOT
 
 SECONDS = 6.0
 
@@ -15,14 +18,16 @@
     assert all(fault.kind in PLANNED for fault in draw_plan(7, 20.0, True))
 
 
-def test_the_promises_hold_under_a_fixed_plan(tmp_path):
+def test_the_promises_hold_under_a_fixed_plan():
     # Processes are killed, frozen, stopped and started while callers, endpoints and an
     # operator go on. What must hold at every speed of the machine is checked: whole
     # answers of the right service, at most one run, no version that reverts.
-    record, plan, _ = run_once(3, SECONDS, folder=tmp_path, timed=False)
-    assert plan
-    assert record.broken == []
-    assert record.answers > 0
+    # In a process of its own: stopped children confuse the loop that tests run on.
+    command = [sys.executable, "-m", "soak.command", "--seed", "3"]
+    command += ["--seconds", str(SECONDS), "--untimed"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "1 passed, 0 failed" in done.stdout
 
 
 @pytest.mark.parametrize(
