--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -3,7 +3,14 @@
 import pytest
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
-from ibisshunt.coordination.forwarding.messages import Known
+from ibisshunt.coordination.forwarding.messages import (
+    Answer,
+    Deliver,
+    Known,
+    Seek,
+    TargetState,
+)
+from ibisshunt.coordination.forwarding.search import start_search
 from tests.forwarding_world import (
     World,
     data_segment,
@@ -435,7 +442,7 @@
     world.sent.clear()
     world.send(SECOND, data_segment(make_key(), number, 1017))
     assert len(world.targets[address].taken) == 2
-    assert len(world.sent) == 2
+    assert [type(action.message) for action in world.sent] == [Seek, Deliver]
 
 
 def test_agents_are_asked_when_no_neighbour_knows():
@@ -518,3 +525,44 @@
     world.send(SECOND, data_segment(make_key(), number))
     assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
     assert len(world.sent) == 2
+
+
+def test_a_delayed_heartbeat_of_a_former_target_changes_nothing():
+    # A target crashed, another one took its place at once; a heartbeat of the first
+    # arrives late. Taken for a new target, it would drop the flows of the second.
+    world = World(targets=1)
+    (address,) = world.agents
+    world.beat(address, number=1, name="i-second")
+    world.open(FIRST)
+    world.beat(address, number=7, name="i-100000000", draining=True)
+    agent = world.agents[address]
+    assert agent.flows
+    assert agent.state == TargetState.OPEN
+
+
+def test_a_late_status_of_a_predecessor_is_ignored():
+    # An agent restarted; a status of its former life was under way. Believed, it would
+    # bring back a state and a load that are over.
+    world = World(targets=1)
+    (address,) = world.agents
+    late = world.agents[address].report(world.now)
+    world.now += 0.1
+    world.agents[address] = world.make_agent()
+    world.beat(address, number=9, name="i-again", slots=5)
+    world.tell_all()
+    balancer = world.balancers[FIRST]
+    assert not balancer.learn(address, late, world.now + 0.01)
+    assert balancer.targets[address].status.slots == 5
+
+
+def test_a_target_is_not_believed_to_hold_a_flow_while_others_are_silent_too():
+    # Two targets may hold a flow and both were probed; neither probe came back, since
+    # the copies were lost. Believing the first would send the flow astray.
+    world = World(targets=2)
+    targets = list(world.balancers[FIRST].targets.values())
+    search = start_search(data_segment(make_key(), 5), targets, frozenset(), 1.0)
+    search.answers.update({target.address: Answer.MAYBE for target in targets})
+    assert search.start_probe(1.0, 0.03)
+    assert search.find_holder(1.1, 0.03) is None
+    search.answers[targets[0].address] = Answer.NOT_HELD
+    assert search.find_holder(1.1, 0.03) == targets[1].address
