--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,7 @@
         self.record = Record(timed)
         self.folder = folder
         self.timers = []
+        self.is_over = False
         self.cores = [self._start_core(ip) for ip in CORES]
         self.fronts = [self._start_front(ip) for ip in FRONTS]
         self.sides = [self._start_side(place) for place in range(len(SIDES))]
@@ -41,6 +42,8 @@
         core = f"{CORES[0]}:{CONTROL}"
         wait_for(lambda: call(core, PUT, make_config(3))[0] == 200, "a first ack")
         self.wait_until_ready()
+        self.keeper = threading.Thread(target=self._keep, daemon=True)
+        self.keeper.start()
         self.operator = Operator(seed, self.record, CORES)
         self.callers = [
             Caller(seed + number, self.record, ip, FRONTS)
@@ -89,6 +92,8 @@
 
     def stop(self):
         """End everything that this run started."""
+        self.is_over = True
+        self.keeper.join()
         for actor in (self.operator, *self.callers):
             if actor.is_alive():
                 actor.end()
@@ -102,6 +107,23 @@
         """Return all processes."""
         return (*self.cores, *self.fronts, *self.sides)
 
+    def _keep(self):
+        """Start programs again that ended by themselves, as the platform does.
+
+        A hang-up signal that arrives before the interpreter runs our first line ends a
+        process; nothing in the program can prevent that.
+        """
+        while not self.is_over:
+            time.sleep(RESTART_SECONDS / 2)
+            for process in self.list_processes():
+                if not process.lock.acquire(blocking=False):
+                    continue
+                try:
+                    if not self.is_over and process.has_ended():
+                        process.start()
+                finally:
+                    process.lock.release()
+
     def _read_newest(self):
         status, _ = call(f"{CORES[0]}:{CONTROL}", GET)
         return self.operator.read() if status == 200 else 0
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -103,6 +103,10 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def has_ended(self):
+        """Tell whether the program does not run."""
+        return self.process.poll() is not None
+
     def wait_for_end(self):
         """Wait until the program has ended."""
         self.process.wait(timeout=DEADLINE_SECONDS)
