--- a/ibisshunt/coordination/__init__.py
+++ b/ibisshunt/coordination/__init__.py
@@ -15,6 +15,9 @@
 flow ownership         ``FlowOwner.handle``
 request admission      ``Admission.offer`` and ``start_next``
 at-most-once ledger    ``Ledger.claim`` and ``settle``
+flows asked for        ``forwarding.balancer.Balancer``, ``forwarding.agent.Agent``
+nodes that meet        ``directory.registry.Registry``, ``directory.contacts``
+highest version wins   ``versions.VersionStore``
 =====================  ==================================================
 
 The names in ``__all__`` keep their meaning within one major version; see
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -46,11 +46,11 @@
 class Status(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Tell balancers about one target.
 
-    ``active`` are the requests at work or waiting and the flows that have just opened.
-
     ``start`` and ``number`` order the statuses of one address: ``start`` is the
-    agent's start in milliseconds of the control hosts' count, drawn once, ``number``
-    grows. ``warm_left`` is in milliseconds, counted from the sending.
+    agent's start by its host's clock, in milliseconds, ``number`` grows. ``active`` are
+    the requests at work or waiting and the flows that have just opened. ``service_us``
+    is the mean time of service in microseconds, 0 when unknown; ``warm_left`` is in
+    milliseconds, counted from the sending; ``version`` is the agent's configuration.
     """
 
     start: int
