--- a/ibisshunt/components/web/small.py
+++ b/ibisshunt/components/web/small.py
@@ -10,7 +10,7 @@
 from gevent.server import StreamServer
 
 from ...model.address import Address
-from . import Handle, WebReply, WebRequest
+from . import TOO_LARGE, Handle, WebReply, WebRequest
 
 # Limits of one request. Unit: bytes. Source: a heartbeat has some 200.
 MAX_HEAD_BYTES = 8 * 1024
@@ -20,7 +20,6 @@
 IDLE_SECONDS = 10.0
 HEAD_END = b"\r\n\r\n"
 BAD_REQUEST = WebReply("400 Bad Request")
-TOO_LARGE = WebReply("413 Content Too Large")
 NOT_TAKEN = WebReply("501 Not Implemented")
 
 
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -1,6 +1,6 @@
 """Decide what a balancer does with each packet of a caller."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .messages import (
@@ -647,11 +647,6 @@
         self._by_service = found
 
 
-def list_services(targets: Iterable[Target]) -> set[str]:
-    """Return the services that the targets serve."""
-    return {target.status.service for target in targets}
-
-
 def _is_older(status: Status, known: Target, now: float) -> bool:
     if status.start == known.status.start:
         return status.number <= known.status.number
