Wait for a settled control host's list before a flow is taken for nobody's

A balancer that started with the fleet counted as fully informed once every agent named so far had spoken; a control host that has just started names only some. With one target known, and that one leaving, it answered 'no_target' while another was free. The same hole let a fresh balancer reset an open flow whose agent was not named yet.

Ruled out: a target heard as absent (its openings are held already).

The process test waits until both balancers know both targets: its point is the draining target, and each opening must still be accepted. The hole itself is held by four unit tests, of which three failed before.

--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -28,7 +28,7 @@
         store: VersionStore,
         list_control: Callable[[], tuple[str, ...]],
     ) -> None:
-        self.registry = Registry()
+        self.registry = Registry(read_clock())
         self._inner = inner
         self._store = store
         self._list_control = list_control
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -43,6 +43,7 @@
         take_configuration: Callable[[bytes], int | None],
         meet: Callable[[str], None],
         domain: str = "",
+        finish_list: Callable[[], None] = lambda: None,
     ) -> None:
         self.contacts = Contacts(role, seeds, domain)
         self.version = 0
@@ -51,6 +52,7 @@
         self._inner = inner
         self._take_configuration = take_configuration
         self._meet = meet
+        self._finish_list = finish_list
         self._in_touch = False
         inner.handle(Welcome, self._take_welcome)
         inner.handle(Notice, self._take_notice)
@@ -107,6 +109,8 @@
         for node in self.contacts.take(peer, welcome, read_clock()):
             log_event("node_learned", peer=node, source=peer)
             self._meet(node)
+        if welcome.settled:
+            self._finish_list()
         self.offer(peer, welcome.version)
 
     def _take_notice(self, peer: str, notice: Notice) -> None:
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -91,6 +91,10 @@
         self.balancer.expect(peer, read_clock())
         self._inner.send(peer, Introduce())
 
+    def finish_list(self) -> None:
+        """Take the word that control has named all agents."""
+        self.balancer.finish_list()
+
     def is_usable(self) -> bool:
         """Tell whether this balancer could place a flow."""
         return self.balancer.is_usable(read_clock())
--- a/ibisshunt/coordination/directory/messages.py
+++ b/ibisshunt/coordination/directory/messages.py
@@ -30,7 +30,8 @@
 
     ``nodes`` are the addresses that the node works with, or None when the digest says
     that it knows them; ``peers`` are nodes of its role and failure domain, and come
-    with ``nodes``; ``control`` are the control hosts.
+    with ``nodes``; ``control`` are the control hosts. ``settled`` tells that the sender
+    has run for long enough to have heard all nodes.
     """
 
     version: int
@@ -38,6 +39,7 @@
     control: tuple[str, ...]
     nodes: tuple[str, ...] | None
     peers: tuple[str, ...] = ()
+    settled: bool = False
 
 
 class Introduce(msgspec.Struct, frozen=True, array_like=True, tag="i"):
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -9,6 +9,10 @@
 # A node that was silent this long is left out. Unit: seconds. Source: ten missed
 # introductions; longer than a restart, so that a list does not change at each.
 NODE_SECONDS = 8.0
+# How long a control host must have run before its lists are whole. Unit: seconds.
+# Source: two introductions of each node (0.7 s, a fifth more at most), so that one of
+# them may be lost.
+SETTLE_SECONDS = 1.7
 
 
 @dataclass(slots=True)
@@ -31,10 +35,11 @@
 
 
 class Registry:
-    """Own the nodes that one control host has heard of."""
+    """Own the nodes that one control host has heard of; it starts at ``now``."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = float("-inf")) -> None:
         self.nodes: dict[str, Node] = {}
+        self._settled_at = now + SETTLE_SECONDS
         self._lists: dict[tuple[NodeRole, str], _Lists] = {}
 
     def take(
@@ -52,10 +57,11 @@
         if known is None or (known.role, known.domain) != (role, hello.domain):
             self._lists.clear()
         lists = self._find_lists(role, hello.domain)
+        settled = now >= self._settled_at
         if hello.digest == lists.digest:
-            return Welcome(version, lists.digest, control, None)
+            return Welcome(version, lists.digest, control, None, (), settled)
         peers = tuple(peer for peer in lists.peers if peer != address)
-        return Welcome(version, lists.digest, control, lists.nodes, peers)
+        return Welcome(version, lists.digest, control, lists.nodes, peers, settled)
 
     def sweep(self, now: float) -> list[str]:
         """Leave silent nodes out; return their addresses."""
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -146,6 +146,7 @@
         self.openings: dict[bytes, Opening] = {}
         self._expected: dict[str, float] = {}
         self._learned_at = now + LEARN_SECONDS
+        self._is_listed = False
         self.targets: dict[str, Target] = {}
         # Balancers of the same failure domain, which routers fall back on.
         self.peers: tuple[str, ...] = ()
@@ -172,11 +173,17 @@
         if address not in self.targets:
             self._expected.setdefault(address, now)
 
+    def finish_list(self) -> None:
+        """Take the word that all agents have been listed by now."""
+        self._is_listed = True
+
     def is_learning(self, now: float) -> bool:
         """Tell whether this balancer may not know all targets yet.
 
         It started just now, or an agent was listed that has not spoken: a flow that
-        nobody else holds may be there, and a reset would break it.
+        nobody else holds may be there, and a reset would break it. The list of a
+        control host that started just now as well lacks agents: with one target known,
+        and that one leaving, new flows were reset though others were free.
         """
         if now < self._learned_at and not self._has_met_all():
             return True
@@ -408,7 +415,7 @@
         return any(target.may_return(now) for target in targets)
 
     def _has_met_all(self) -> bool:
-        return bool(self.targets) and not self._expected
+        return self._is_listed and bool(self.targets) and not self._expected
 
     def _offer_again(
         self,
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -64,6 +64,7 @@
         take,
         task.meet,
         settings.failure_domain,
+        task.finish_list,
     )
     task.list_peers = lambda: directory.contacts.peers
 
--- a/tests/coordination/directory/test_contacts.py
+++ b/tests/coordination/directory/test_contacts.py
@@ -81,3 +81,15 @@
     contacts.take("10.0.0.1", welcome, 1.0)
     contacts.take("10.0.0.2", Welcome(7, 9, CONTROL, (), ()), 1.1)
     assert contacts.peers == ("10.0.1.2",)
+
+
+def test_a_control_host_that_has_just_started_does_not_call_its_list_whole():
+    # All processes start together. A balancer that took the first list for the whole
+    # would answer "nobody" for targets that are named a moment later.
+    registry = Registry(now=10.0)
+    early = registry.take("10.0.2.1", Hello(NodeRole.BALANCER, 0, 0), 1, CONTROL, 10.2)
+    assert not early.settled
+    late = registry.take(
+        "10.0.2.1", Hello(NodeRole.BALANCER, 0, early.digest), 1, CONTROL, 11.8
+    )
+    assert late.settled
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -320,6 +320,67 @@
     assert not world.resets
 
 
+def make_fresh_balancer(world, known):
+    """Return a balancer that started just now and has heard some agents."""
+    fresh = Balancer(world.random.random, now=world.now)
+    fresh.take_routes(make_table())
+    for address in known:
+        fresh.expect(address, world.now)
+        fresh.learn(address, world.agents[address].report(world.now), world.now)
+    return fresh
+
+
+def test_a_new_flow_waits_while_a_fresh_balancer_knows_only_a_leaving_target():
+    # Control and a balancer have just started, and control has named one agent so far.
+    # Its target starts to leave. A caller's new flow was reset, though another target
+    # was free: the balancer must wait for the whole list, and place the flow then.
+    world = World(targets=2)
+    leaving, free = world.agents
+    world.beat(leaving, number=2, draining=True)
+    world.balancers[FIRST] = fresh = make_fresh_balancer(world, [leaving])
+    world.silent = {free}
+    world.send(FIRST, open_segment(make_key()))
+    world.wait(0.3)
+    assert not world.resets
+    world.silent.clear()
+    fresh.expect(free, world.now)
+    fresh.finish_list()
+    world.wait(0.5)
+    assert [address for address, _ in world.to_callers] == [free]
+
+
+def test_a_new_flow_is_refused_at_once_when_the_whole_list_leaves():
+    # All agents are named and have spoken, and their targets leave: a caller that
+    # waited for another one would only lose time.
+    world = World(targets=1)
+    (leaving,) = world.agents
+    world.beat(leaving, number=2, draining=True)
+    world.balancers[FIRST] = fresh = make_fresh_balancer(world, [leaving])
+    fresh.finish_list()
+    world.send(FIRST, open_segment(make_key()))
+    assert [reset.reason for reset in world.resets] == ["no_target"]
+
+
+def test_an_open_flow_is_not_reset_on_the_word_of_a_list_that_lacks_its_agent():
+    # Control and a balancer restart together. The first list names one agent, which
+    # does not hold the flow; the one that does is named a moment later. A reset in
+    # between would break an open flow.
+    world = World(targets=2)
+    holder, number = world.open(FIRST)
+    other = next(address for address in world.agents if address != holder)
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, [other])
+    world.silent = {holder}
+    world.send(SECOND, data_segment(make_key(), number))
+    world.wait(0.3)
+    assert not world.resets
+    world.silent.clear()
+    fresh.expect(holder, world.now)
+    fresh.finish_list()
+    world.wait(0.6)
+    assert len(world.targets[holder].taken) == 1
+    assert not world.resets
+
+
 def test_a_fleet_that_restarts_keeps_opening_packets_until_it_can_place_them():
     # All processes were killed. A balancer is back before it has a configuration and
     # before any agent speaks. A reset would use up the caller's tries within some
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -1,5 +1,6 @@
 """The three programs as separate processes on loopback, with stand-ins around them."""
 
+import re
 import signal
 
 import pytest
@@ -102,6 +103,18 @@
         for ip in FRONTS:
             wait_for(lambda ip=ip: call(f"{ip}:{READY}", "/-/ready")[0] == 200, "ready")
 
+    def wait_until_known(self):
+        """Wait until each balancer has heard that each target is open."""
+        for front in self.fronts:
+            for ip in SIDES:
+                learned = re.compile(f"target_learned peer={ip} .* state=0 ")
+                wait_for(
+                    lambda front=front, learned=learned: learned.search(
+                        front.read_log()
+                    ),
+                    "a target that is open",
+                )
+
     def stop(self):
         """End everything."""
         self.client.close()
@@ -175,6 +188,7 @@
     # reach it, through any balancer; its open flows go on.
     system.put()
     system.wait_until_ready()
+    system.wait_until_known()
     opened = wait_for(lambda: system.client.open(FRONTS[0], 40_001), "a flow")
     home = ask(system, FRONTS[0], 40_001, opened)
     leaving = next(found for found in system.endpoints if found.name == home)
