--- a/ibisshunt/components/consensus/__init__.py
+++ b/ibisshunt/components/consensus/__init__.py
@@ -23,12 +23,12 @@
 import secrets
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import gevent
 
 from ...core import Kernel
 from ...exceptions import Fault, StorageError
+from ...helpers.threads import run_in_thread
 from ...model.settings import ControlSettings
 from ..storage import DiskFiles, Recovered, Store
 from .driver import StateMachine
@@ -55,7 +55,7 @@
     folder = Path(settings.data_folder)
     options = options or Options()
     pause = gevent.sleep if options.wait_for_room else None
-    store = Store(DiskFiles(folder, _run_in_thread, pause))
+    store = Store(DiskFiles(folder, run_in_thread, pause))
     recovered = _recover(store, folder, settings.name)
     log = ReplicatedLog(settings, machine, store, recovered, kernel.spawn, options)
     name = f"{SERVICE}-{settings.name}" if SERVICE in kernel.names() else SERVICE
@@ -74,8 +74,3 @@
         fault = error.fault
         peer = str(folder / fault.peer)
         raise StorageError(Fault(fault.step, peer, fault.reason)) from error
-
-
-def _run_in_thread(function: Any, args: tuple[Any, ...]) -> Any:
-    """Let other tasks run while the disk is busy."""
-    return gevent.get_hub().threadpool.apply(function, args)
--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -13,10 +13,14 @@
 from ...helpers.clock import read_clock
 from ...helpers.logging import log_event
 from .inner import InnerSocket
+from .known import NodeFile
 
 # How often nodes that hold an older version are told again. Unit: seconds. Source: a
 # datagram or two may be lost, and all must know within 3 s.
 TELL_SECONDS = 0.25
+# How often the list of nodes is written when it has changed. Unit: seconds. Source:
+# one write for all nodes that a fleet's start brings.
+SAVE_SECONDS = 1.0
 
 
 class ControlDirectory:
@@ -27,8 +31,12 @@
         inner: InnerSocket,
         store: VersionStore,
         list_control: Callable[[], tuple[str, ...]],
+        file: NodeFile,
     ) -> None:
-        self.registry = Registry(read_clock())
+        known = file.load()
+        self.registry = Registry(read_clock(), known)
+        self._file = file
+        self._saved = known
         self._inner = inner
         self._store = store
         self._list_control = list_control
@@ -44,6 +52,14 @@
             for address in self.registry.sweep(read_clock()):
                 log_event("node_silent", peer=address)
 
+    def run_saving(self) -> None:
+        """Keep the list of nodes on disk until killed."""
+        while True:
+            gevent.sleep(SAVE_SECONDS)
+            known = self.registry.list_known()
+            if known != self._saved and self._file.save(known):
+                self._saved = known
+
     def announce(self) -> None:
         """Tell each node that holds an older version of the present one."""
         version = self._store.version
--- a/ibisshunt/components/storage/files.py
+++ b/ibisshunt/components/storage/files.py
@@ -12,6 +12,7 @@
 from ...helpers.logging import log_event, warn_event
 
 LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".tmp"
 # How often a write to a full disk is tried again. Unit: seconds. Source: the host is
 # out of service meanwhile, and a heartbeat of consensus takes 0.2 s.
 FULL_PAUSE_SECONDS = 0.1
@@ -57,6 +58,17 @@
         """Let go of the folder."""
 
 
+def write_whole(files: Files, name: str, data: bytes) -> None:
+    """Write a file so that its name appears only with its whole content."""
+    temporary = name + TEMPORARY_SUFFIX
+    if temporary in files.list():
+        files.remove(temporary)
+    files.append(temporary, data)
+    files.sync(temporary)
+    files.rename(temporary, name)
+    files.sync_folder()
+
+
 def run_here(function: Callable[..., Any], args: tuple[Any, ...]) -> Any:
     """Run a blocking call in the calling thread."""
     return function(*args)
--- a/ibisshunt/components/storage/store.py
+++ b/ibisshunt/components/storage/store.py
@@ -13,13 +13,12 @@
 from ...exceptions import Fault, StorageError
 from ...helpers.logging import log_event, warn_event
 from ...protocol.codec import decode, encode
-from .files import Files
+from .files import TEMPORARY_SUFFIX, Files, write_whole
 from .frames import make_frame, scan_frames
 
 WAL_PREFIX = "wal-"
 SNAPSHOT_PREFIX = "snapshot-"
 IDENTITY_NAME = "identity"
-TEMPORARY_SUFFIX = ".tmp"
 KindT = TypeVar("KindT")
 
 
@@ -125,7 +124,7 @@
         any step leaves either the old pair or the new one.
         """
         name = f"{SNAPSHOT_PREFIX}{snapshot.index:020d}"
-        self._write_whole(name, make_frame(0, encode(snapshot)))
+        write_whole(self._files, name, make_frame(0, encode(snapshot)))
         self._start_file(Batch(hard, entries, base))
         for found in self._files.list():
             if found.startswith(SNAPSHOT_PREFIX) and found != name:
@@ -143,23 +142,13 @@
         old = self._wal_name()
         self._generation += 1
         frame = make_frame(0, encode(head))
-        self._write_whole(self._wal_name(), frame)
+        write_whole(self._files, self._wal_name(), frame)
         self._sequence = 1
         self._bytes = len(frame)
         self._dirty = False
         if old in self._files.list():
             self._files.remove(old)
 
-    def _write_whole(self, name: str, data: bytes) -> None:
-        """Write a file so that its name appears only with its whole content."""
-        temporary = name + TEMPORARY_SUFFIX
-        if temporary in self._files.list():
-            self._files.remove(temporary)
-        self._files.append(temporary, data)
-        self._files.sync(temporary)
-        self._files.rename(temporary, name)
-        self._files.sync_folder()
-
     def _remove_temporaries(self) -> None:
         for name in self._files.list():
             if name.endswith(TEMPORARY_SUFFIX):
@@ -213,7 +202,7 @@
                 reason = "the log is there but not the identity of its disk"
                 raise StorageError(Fault("recover folder", IDENTITY_NAME, reason))
             identity = Identity(name, draw_disk())
-            self._write_whole(IDENTITY_NAME, make_frame(0, encode(identity)))
+            write_whole(self._files, IDENTITY_NAME, make_frame(0, encode(identity)))
             log_event("disk_identity_drawn", host=name, disk=identity.disk)
         return Recovered(identity, hard, base, entries, snapshot)
 
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+import msgspec
+
 from .messages import Hello, NodeRole, Welcome
 
 # A node that was silent this long is left out. Unit: seconds. Source: ten missed
@@ -15,6 +17,14 @@
 SETTLE_SECONDS = 1.7
 
 
+class KnownNode(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what outlives a restart of the control host; ``role`` is a NodeRole."""
+
+    address: str
+    role: int
+    domain: str
+
+
 @dataclass(slots=True)
 class Node:
     """Hold one node; ``heard_at`` is in seconds."""
@@ -35,11 +45,21 @@
 
 
 class Registry:
-    """Own the nodes that one control host has heard of; it starts at ``now``."""
-
-    def __init__(self, now: float = float("-inf")) -> None:
-        self.nodes: dict[str, Node] = {}
-        self._settled_at = now + SETTLE_SECONDS
+    """Own the nodes that one control host has heard of; it starts at ``now``.
+
+    ``known`` are the nodes of its former run. When a whole fleet restarts, callers
+    send packets of flows that ended with it; a balancer may only tell them so once it
+    has heard all agents, and would otherwise wait until the list is surely whole.
+    """
+
+    def __init__(
+        self, now: float = float("-inf"), known: Iterable[KnownNode] = ()
+    ) -> None:
+        self.nodes: dict[str, Node] = {
+            node.address: Node(NodeRole(node.role), 0, now, node.domain)
+            for node in known
+        }
+        self._settled_at = now if self.nodes else now + SETTLE_SECONDS
         self._lists: dict[tuple[NodeRole, str], _Lists] = {}
 
     def take(
@@ -76,6 +96,13 @@
             self._lists.clear()
         return silent
 
+    def list_known(self) -> tuple[KnownNode, ...]:
+        """Return all nodes, in the order of their addresses."""
+        return tuple(
+            KnownNode(address, int(node.role), node.domain)
+            for address, node in sorted(self.nodes.items())
+        )
+
     def list_behind(self, version: int) -> list[str]:
         """Return the nodes that hold an older configuration."""
         return [
--- a/tests/coordination/directory/test_contacts.py
+++ b/tests/coordination/directory/test_contacts.py
@@ -93,3 +93,15 @@
         "10.0.2.1", Hello(NodeRole.BALANCER, 0, early.digest), 1, CONTROL, 11.8
     )
     assert late.settled
+
+
+def test_a_control_host_that_knew_its_nodes_names_them_at_once():
+    # A whole fleet restarts. The control host names the agents of its former run in
+    # its first answer, so that a balancer knows whom to wait for, and for how long.
+    registry = Registry(now=1.0)
+    introduce(registry, "10.0.2.1", NodeRole.AGENT, now=1.0)
+    again = Registry(now=5.0, known=registry.list_known())
+    welcome = introduce(again, "10.0.1.1", NodeRole.BALANCER, now=5.1)
+    assert welcome.nodes == ("10.0.2.1",)
+    assert welcome.settled
+    assert again.sweep(5.0 + NODE_SECONDS) == ["10.0.2.1"]
