Place young flows first, let agents judge by their own count, keep the list of nodes

Now: a late flow takes a slot that is free or next; agents check a flow's limit by their own count and tell one waiting balancer of each slot; a copy of an opening tells its age; requests stop to count at the caller's end, the route's timeout or when overtaken; control keeps its list of nodes on disk, drops those that leave or are not heard for 1 s after its start; an agent that has not heard its target is never believed to hold a flow by silence.

--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -7,7 +7,7 @@
 import gevent
 
 from ...coordination.directory.download import make_pieces
-from ...coordination.directory.messages import Fetch, Hello, Notice
+from ...coordination.directory.messages import Fetch, Hello, Leave, Notice
 from ...coordination.directory.registry import Registry
 from ...coordination.versions import VersionStore
 from ...helpers.clock import read_clock
@@ -42,6 +42,7 @@
         self._list_control = list_control
         self._packed: tuple[int, bytes] = (0, b"")
         inner.handle(Hello, self._take_hello)
+        inner.handle(Leave, self._take_leave)
         inner.handle(Fetch, self._take_fetch)
 
     def run(self) -> None:
@@ -82,6 +83,10 @@
         if is_new:
             log_event("node_heard", peer=peer, role=hello.role, version=hello.version)
 
+    def _take_leave(self, peer: str, message: Leave) -> None:
+        if self.registry.remove(peer):
+            log_event("node_left", peer=peer)
+
     def _take_fetch(self, peer: str, fetch: Fetch) -> None:
         version, whole = self._pack()
         if version < fetch.version:
--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -9,6 +9,7 @@
     Fetch,
     Hello,
     Introduce,
+    Leave,
     Notice,
     Piece,
     Welcome,
@@ -38,6 +39,7 @@
     | Status
     | Hello
     | Welcome
+    | Leave
     | Introduce
     | Notice
     | Fetch
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -12,6 +12,7 @@
 from ...coordination.directory.messages import (
     Fetch,
     Introduce,
+    Leave,
     NodeRole,
     Notice,
     Piece,
@@ -28,6 +29,10 @@
 # than a second once a control host answers.
 FIRST_HELLO_SECONDS = 0.1
 TICK_SECONDS = 0.1
+# How often, and at which interval, a node that goes for good says so. Unit: times,
+# seconds. Source: two datagrams in a row are seldom lost; a stop takes as long anyway.
+LEAVE_TIMES = 2
+LEAVE_SECONDS = 0.05
 # A control host was heard lately. Unit: seconds. Source: three introductions.
 IN_TOUCH_SECONDS = 2.2
 
@@ -43,7 +48,8 @@
         take_configuration: Callable[[bytes], int | None],
         meet: Callable[[str], None],
         domain: str = "",
-        finish_list: Callable[[], None] = lambda: None,
+        finish_list: Callable[[frozenset[str]], None] = lambda named: None,
+        is_empty: Callable[[], bool] = lambda: False,
     ) -> None:
         self.contacts = Contacts(role, seeds, domain)
         self.version = 0
@@ -53,7 +59,9 @@
         self._take_configuration = take_configuration
         self._meet = meet
         self._finish_list = finish_list
+        self._is_empty = is_empty
         self._in_touch = False
+        self._has_left = False
         inner.handle(Welcome, self._take_welcome)
         inner.handle(Notice, self._take_notice)
         inner.handle(Piece, self._take_piece)
@@ -71,6 +79,14 @@
             self.contacts.sweep(now)
             gevent.sleep(TICK_SECONDS)
 
+    def leave(self) -> None:
+        """Tell all control hosts that this node goes for good."""
+        self._has_left = True
+        for _ in range(LEAVE_TIMES):
+            for address in self.contacts.list_control(read_clock()):
+                self._inner.send(address, Leave())
+            gevent.sleep(LEAVE_SECONDS)
+
     def offer(self, peer: str, version: int) -> None:
         """Take the word that a node holds a version."""
         self._ask(self._download.offer(peer, version, read_clock()))
@@ -90,7 +106,9 @@
         }
 
     def _introduce(self, now: float) -> float:
-        hello = self.contacts.make_hello(self.version)
+        if self._has_left:
+            return HELLO_SECONDS
+        hello = self.contacts.make_hello(self.version, self._is_empty())
         for address in self.contacts.list_control(now):
             self._inner.send(address, hello)
         in_touch = self.is_in_touch()
@@ -110,7 +128,8 @@
             log_event("node_learned", peer=node, source=peer)
             self._meet(node)
         if welcome.settled:
-            self._finish_list()
+            named = self.contacts.list_named(read_clock(), IN_TOUCH_SECONDS)
+            self._finish_list(named)
         self.offer(peer, welcome.version)
 
     def _take_notice(self, peer: str, notice: Notice) -> None:
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -12,6 +12,7 @@
     OnBehalf,
     Relay,
     Send,
+    TargetState,
     ToTarget,
 )
 from ...helpers.clock import read_clock
@@ -124,6 +125,10 @@
         if self.agent.leave(name):
             self.tell_all()
 
+    def has_lost_target(self) -> bool:
+        """Tell whether the target has said that it goes for good."""
+        return self.agent.state == TargetState.GONE
+
     def stop(self) -> None:
         """Take no more flows, and wait for the requests at work, 2 s at most."""
         self.agent.pause()
@@ -182,7 +187,12 @@
         if segment is None:
             self.unreadable += 1
             return
-        self._carry_out(self.agent.take_outward(segment, read_clock()))
+        now = read_clock()
+        self._carry_out(self.agent.take_outward(segment, now))
+        if found := self.agent.confirm(segment):
+            self._carry_out(found)
+        if waiting := self.agent.take_waiting(now):
+            self.meet(waiting)
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -91,9 +91,9 @@
         self.balancer.expect(peer, read_clock())
         self._inner.send(peer, Introduce())
 
-    def finish_list(self) -> None:
-        """Take the word that control has named all agents."""
-        self.balancer.finish_list()
+    def finish_list(self, named: frozenset[str]) -> None:
+        """Take the list of all agents from control."""
+        self.balancer.finish_list(named)
 
     def is_usable(self) -> bool:
         """Tell whether this balancer could place a flow."""
@@ -156,7 +156,8 @@
     def _take_status(self, peer: str, status: Status) -> None:
         now = read_clock()
         self.balancer.learn(peer, status, now)
-        if self.balancer.openings:
+        # A word that tells of no free slot lets none of them go; the sweep looks again.
+        if self.balancer.openings and status.active < status.slots:
             self._carry_out(self.balancer.open_again(now))
 
     def _take_returned(self, peer: str, message: Returned) -> None:
--- a/ibisshunt/components/forwarding/samples.py
+++ b/ibisshunt/components/forwarding/samples.py
@@ -50,6 +50,6 @@
     yield Sample("ibisshunt_packets_delivered_total", COUNTER, {}, agent.delivered)
     yield Sample("ibisshunt_packets_sent_back_total", COUNTER, {}, agent.returned)
     yield Sample("ibisshunt_target_state", GAUGE, {}, int(agent.state))
-    yield Sample("ibisshunt_configuration_version", GAUGE, {}, agent.version)
+    yield Sample("ibisshunt_configuration_version", GAUGE, {}, agent.routes.version)
     yield Sample("ibisshunt_lines_left_out_total", COUNTER, {}, log.left_out)
     yield from service.list_samples()
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -24,14 +24,15 @@
         self._control: dict[str, float] = {}
         self._nodes: dict[str, float] = {}
         self._heard: dict[str, float] = {}
+        self._listed: dict[str, frozenset[str]] = {}
 
     def take_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the seeds by those of newer settings."""
         self.seeds = tuple(seeds)
 
-    def make_hello(self, version: int) -> Hello:
+    def make_hello(self, version: int, is_empty: bool = False) -> Hello:
         """Return the introduction for the control hosts."""
-        return Hello(self.role, version, self.digest, self.domain)
+        return Hello(self.role, version, self.digest, self.domain, is_empty)
 
     def list_control(self, now: float) -> list[str]:
         """Return the control hosts to introduce this node to."""
@@ -60,6 +61,7 @@
                 self._nodes[node] = now
             return []
         self.digest = welcome.digest
+        self._listed[address] = frozenset(welcome.nodes)
         # A control host that has just started knows few: its list takes nobody away.
         self.peers = welcome.peers or self.peers
         return [node for node in welcome.nodes if self.note(node, now)]
@@ -70,6 +72,14 @@
         self._nodes[node] = now
         return is_new
 
+    def list_named(self, now: float, within: float) -> frozenset[str]:
+        """Return the nodes that a control host heard lately has in its list."""
+        named: frozenset[str] = frozenset()
+        for control, nodes in self._listed.items():
+            if now - self._heard[control] < within:
+                named |= nodes
+        return named
+
     def count_heard(self, now: float, within: float) -> int:
         """Count the control hosts heard in the last ``within`` seconds."""
         return sum(now - at < within for at in self._heard.values())
--- a/ibisshunt/coordination/directory/messages.py
+++ b/ibisshunt/coordination/directory/messages.py
@@ -16,13 +16,15 @@
     """Introduce a node to a control host.
 
     ``version`` is the configuration it holds, ``digest`` the list of nodes it knows,
-    ``domain`` its failure domain.
+    ``domain`` its failure domain. ``is_empty`` tells that it holds no flows and will
+    hold none: its target has gone.
     """
 
     role: int
     version: int
     digest: int
     domain: str = ""
+    is_empty: bool = False
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -42,6 +44,10 @@
     settled: bool = False
 
 
+class Leave(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Tell a control host that the node goes for good, with its target."""
+
+
 class Introduce(msgspec.Struct, frozen=True, array_like=True, tag="i"):
     """Tell an agent of a balancer that wants its status."""
 
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -11,6 +11,10 @@
 # A node that was silent this long is left out. Unit: seconds. Source: ten missed
 # introductions; longer than a restart, so that a list does not change at each.
 NODE_SECONDS = 8.0
+# How long a node of the former run may take to introduce itself again. Unit: seconds.
+# Source: the hosts of a fleet start within 0.3 s of each other, programs in less than a
+# second, and a node that knows no control host speaks each 0.1 s.
+CONFIRM_SECONDS = 1.0
 # How long a control host must have run before its lists are whole. Unit: seconds.
 # Source: two introductions of each node (0.7 s, a fifth more at most), so that one of
 # them may be lost.
@@ -33,6 +37,7 @@
     version: int
     heard_at: float
     domain: str = ""
+    is_empty: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +60,9 @@
     def __init__(
         self, now: float = float("-inf"), known: Iterable[KnownNode] = ()
     ) -> None:
+        heard_at = now + CONFIRM_SECONDS - NODE_SECONDS
         self.nodes: dict[str, Node] = {
-            node.address: Node(NodeRole(node.role), 0, now, node.domain)
+            node.address: Node(NodeRole(node.role), 0, heard_at, node.domain)
             for node in known
         }
         self._settled_at = now if self.nodes else now + SETTLE_SECONDS
@@ -73,7 +79,9 @@
         """Take an introduction; return the answer."""
         role = NodeRole(hello.role)
         known = self.nodes.get(address)
-        self.nodes[address] = Node(role, hello.version, now, hello.domain)
+        self.nodes[address] = Node(
+            role, hello.version, now, hello.domain, hello.is_empty
+        )
         if known is None or (known.role, known.domain) != (role, hello.domain):
             self._lists.clear()
         lists = self._find_lists(role, hello.domain)
@@ -83,6 +91,17 @@
         peers = tuple(peer for peer in lists.peers if peer != address)
         return Welcome(version, lists.digest, control, lists.nodes, peers, settled)
 
+    def remove(self, address: str) -> bool:
+        """Leave out a node that has said so; return whether it was there.
+
+        Only silence would tell otherwise, and until then each balancer that starts
+        waits for the node, and resets no flow that ended with its target.
+        """
+        if self.nodes.pop(address, None) is None:
+            return False
+        self._lists.clear()
+        return True
+
     def sweep(self, now: float) -> list[str]:
         """Leave silent nodes out; return their addresses."""
         silent = [
@@ -97,10 +116,11 @@
         return silent
 
     def list_known(self) -> tuple[KnownNode, ...]:
-        """Return all nodes, in the order of their addresses."""
+        """Return all nodes that may hold flows, in the order of their addresses."""
         return tuple(
             KnownNode(address, int(node.role), node.domain)
             for address, node in sorted(self.nodes.items())
+            if not node.is_empty
         )
 
     def list_behind(self, version: int) -> list[str]:
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -17,8 +17,8 @@
     Told,
     ToTarget,
 )
-from .requests import RequestLog
-from .routes import make_tag
+from .requests import UNANSWERED_SECONDS, RequestLog
+from .routes import RouteTable, make_tag
 from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
 
 # Flows older than this may be discarded, so an agent that has run for as long has
@@ -29,8 +29,12 @@
 # Source: the longest interval of a repeat is 1.6 s.
 ENDED_SECONDS = 4.0
 # How long a flow that has opened counts as a request that is about to come. Unit:
-# seconds. Source: the handshake and the request take two round trips to the caller.
-OPENING_SECONDS = 0.1
+# seconds. Source: the handshake and the request take two round trips to the caller, of
+# 2-9 ms each; callers that have given up send none.
+OPENING_SECONDS = 0.03
+# How long a balancer whose flow was sent back is told of the next free slot. Unit:
+# seconds. Source: as long as it may keep the flow.
+WAITING_SECONDS = 1.0
 # How long a probe may take to bounce. Unit: seconds. Source: many times what a target
 # takes to send a packet back.
 PROBED_SECONDS = 1.0
@@ -46,12 +50,14 @@
     """Hold what an agent saw of a flow; times are in seconds.
 
     ``first`` and ``last`` are the ends of the numbers that the target has sent, None
-    when its opening was not seen.
+    when its opening was not seen; ``is_answered`` tells that the target has sent
+    anything in it, and so holds it.
     """
 
     first: int | None
     seen_at: float
     last: int = 0
+    is_answered: bool = False
     caller_ended: bool = False
     target_ended: bool = False
     ended_at: float = 0.0
@@ -86,8 +92,8 @@
         self.start = start
         self.state = TargetState.ABSENT
         self.flows: dict[bytes, HeldFlow] = {}
-        self.requests = RequestLog(tell, observe)
-        self.version = 0
+        self.routes = RouteTable()
+        self.requests = RequestLog(tell, observe, self._find_timeout)
         self.returned = 0
         self.delivered = 0
         self._tag = make_tag(service)
@@ -98,7 +104,9 @@
         self._announced_at = now
         self._former: set[str] = set()
         self._opening: dict[bytes, float] = {}
-        self._probed: dict[bytes, float] = {}
+        self._probed: dict[bytes, tuple[float, str]] = {}
+        self._waiting: dict[str, float] = {}
+        self._promised: dict[str, float] = {}
         self._warm_at = now
         self._paused = False
         self._knows_all_at = now + max_flow_seconds
@@ -168,16 +176,22 @@
             len(self.flows),
             int(self.requests.mean_seconds * 1e6),
             max(0, int(1000 * (self._warm_at - now))),
-            self.version,
+            self.routes.version,
             self.knows_all(now),
         )
 
+    def take_routes(self, routes: RouteTable) -> None:
+        """Take a newer configuration; it tells how long callers wait for answers."""
+        if routes.version > self.routes.version:
+            self.routes = routes
+
     def knows_all(self, now: float) -> bool:
         """Tell whether this agent has seen each flow that its target holds."""
         return now >= self._knows_all_at
 
     def sweep(self, now: float) -> bool:
         """Forget what is over; return whether the target was lost just now."""
+        self.requests.sweep(now)
         if now >= self._sweep_at:
             self._sweep_at = now + 1.0
             self._forget(now)
@@ -202,10 +216,22 @@
         self, origin: str, message: Deliver, segment: Segment, now: float
     ) -> Action:
         """Take a packet from the balancer at ``origin``."""
+        flow = self.flows.get(segment.key)
+        # A caller that gave up while its flow opened ends it, and its request comes
+        # behind that: the target drops it, and no answer would end the count.
+        has_ended = flow is not None and flow.caller_ended
+        action = self._take(origin, message, segment, now)
+        if isinstance(action, ToTarget) and not segment.opens and not has_ended:
+            self.requests.note_inward(segment, now)
+        return action
+
+    def _take(
+        self, origin: str, message: Deliver, segment: Segment, now: float
+    ) -> Send | ToTarget:
         if message.tag != self._tag:
             return self._return(origin, Reason.OTHER_SERVICE, segment)
         if segment.opens and not segment.acknowledges:
-            return self._take_opening(origin, segment, message.believed, now)
+            return self._take_opening(origin, segment, message.limit, now)
         flow = self.flows.get(segment.key)
         if flow is None:
             if self.knows_all(now) or self.state == TargetState.GONE:
@@ -218,7 +244,6 @@
         flow.caller_ended = flow.caller_ended or segment.finishes
         if segment.data:
             self._opening.pop(segment.key, None)
-        self.requests.note_inward(segment, now)
         self.delivered += 1
         return ToTarget(origin, segment)
 
@@ -233,6 +258,7 @@
             flow.first = flow.last = segment.sequence
             flow.ended_at = 0.0
         flow.seen_at = now
+        flow.is_answered = not segment.resets
         end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
         if is_later(end, flow.last):
             flow.last = end % SEQUENCE_SPACE
@@ -248,14 +274,28 @@
     def take_probe(
         self, origin: str, message: Probe, segment: Segment, now: float
     ) -> Action:
-        """Take a packet that tells whether the target holds its flow."""
+        """Take a packet that tells whether the target holds its flow.
+
+        It is not counted as a request: after a power loss each of a hundred flows was
+        probed at each target, and all looked full.
+        """
         deliver = Deliver(message.tag, message.packet)
-        action = self.take(origin, deliver, segment, now)
+        action = self._take(origin, deliver, segment, now)
         if isinstance(action, Send):
             return Send(origin, Told(segment.key, Answer.NOT_HELD))
-        self._probed[segment.key] = now
+        self._probed[segment.key] = (now, origin)
         return action
 
+    def confirm(self, segment: Segment) -> Send | None:
+        """Return the word that the target holds a flow that it was probed for.
+
+        To be called with each packet that the target sent to a caller.
+        """
+        if segment.key not in self._probed or segment.returned or segment.resets:
+            return None
+        _, origin = self._probed.pop(segment.key)
+        return Send(origin, Told(segment.key, Answer.HELD))
+
     def tell(self, message: Ask, now: float) -> Told:
         """Answer whether the target holds a flow."""
         return Told(message.key, self._find_answer(message, now))
@@ -267,9 +307,15 @@
         if flow is not None and flow.first is not None:
             fits = lies_between(flow.first, message.acknowledgement, flow.last)
             return Answer.HELD if fits else Answer.NOT_HELD
+        if flow is not None and flow.is_answered:
+            return Answer.HELD
         if self.knows_all(now):
             return Answer.NOT_HELD
-        return Answer.MAYBE
+        if self.state != TargetState.ABSENT:
+            return Answer.MAYBE
+        limit = MISSED_HEARTBEATS * self._heartbeat
+        is_dead = now - self._announced_at >= limit
+        return Answer.NOT_HELD if is_dead else Answer.UNHEARD
 
     def count_load(self, now: float) -> int:
         """Return the requests at the target and the flows that have just opened."""
@@ -280,19 +326,41 @@
             del self._opening[key]
         return self.requests.active + len(self._opening)
 
+    def take_waiting(self, now: float) -> str | None:
+        """Return the balancer to tell of a free slot, None when no one waits for it.
+
+        A status goes to all and comes too late: the slot would stay empty for as long
+        as ten requests take, while flows wait at the balancers.
+        """
+        if self.state != TargetState.OPEN or self._paused:
+            return None
+        for balancer, at in tuple(self._promised.items()):
+            if now - at >= OPENING_SECONDS:
+                del self._promised[balancer]
+        # A balancer that was told is about to send a flow: telling others of the same
+        # slot would only have theirs sent back.
+        if self.count_load(now) + len(self._promised) > self.requests.slots:
+            return None
+        while self._waiting:
+            balancer = next(iter(self._waiting))
+            if now - self._waiting.pop(balancer) < WAITING_SECONDS:
+                self._promised[balancer] = now
+                return balancer
+        return None
+
     def _take_opening(
-        self, origin: str, segment: Segment, believed: int, now: float
-    ) -> Action:
+        self, origin: str, segment: Segment, limit: int, now: float
+    ) -> Send | ToTarget:
         if self.state != TargetState.OPEN or self._paused:
             return self._return(origin, Reason.NOT_OPEN, segment)
         # Balancers that all heard of a free slot send their flows together, before
-        # the first shows in a status: what exceeds their belief by a whole round of
-        # slots goes back, and one of them finds a better target.
-        slack = self.requests.slots
-        if segment.key not in self._opening and (
-            self.count_load(now) > believed + slack
-        ):
-            return self._return(origin, Reason.FULL, segment, self.count_load(now))
+        # the first shows in a status: what exceeds their limit goes back, and one of
+        # them finds a better target.
+        self._promised.pop(origin, None)
+        load = self.count_load(now)
+        if segment.key not in self._opening and load > limit:
+            self._waiting[origin] = now
+            return self._return(origin, Reason.FULL, segment, load)
         self._opening[segment.key] = now
         flow = self.flows.get(segment.key)
         if flow is None:
@@ -332,6 +400,11 @@
 
     # What is forgotten.
 
+    def _find_timeout(self, key: bytes) -> float:
+        """Return for how many seconds the caller of a flow waits for an answer."""
+        route = self.routes.find(key[6:])
+        return UNANSWERED_SECONDS if route is None else route.timeout / 1000
+
     def _replace(self, known: Announcement, now: float) -> None:
         """Forget the flows of a target whose place another one took."""
         self._former.add(known.name)
@@ -345,14 +418,13 @@
         self.requests.clear()
 
     def _forget(self, now: float) -> None:
-        self.requests.sweep(now)
         over = [
             key
             for key, flow in self.flows.items()
             if (flow.ended_at and now - flow.ended_at >= ENDED_SECONDS)
             or now - flow.seen_at >= self._max_flow
         ]
-        for key, at in tuple(self._probed.items()):
+        for key, (at, _) in tuple(self._probed.items()):
             if now - at >= PROBED_SECONDS:
                 del self._probed[key]
         for key in over:
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -3,8 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .admission import (
+    Openings,
+    Verdict,
+    find_patience,
+    judge_opening,
+    limit_requests,
+)
 from .messages import (
-    NO_LIMIT,
     Answer,
     Ask,
     Deliver,
@@ -31,10 +37,6 @@
 # each costs the caller a round trip of some milliseconds; more than this are only
 # full together, when a refusal serves the caller better than another try.
 MAX_OFFERS = 6
-# How many agents may refuse a flow because their load is above what was believed.
-# Unit: agents. Source: each costs a round trip of some milliseconds; after two all
-# targets are loaded more than their last words say, and the next one must take it.
-MAX_CORRECTIONS = 2
 # How long the balancers of the same failure domain have to answer before agents are
 # asked. Unit: seconds. Source: round trips inside a domain take well under one
 # millisecond; a thin host answers within some.
@@ -55,12 +57,6 @@
 # milliseconds; statuses come every 0.4 s.
 LATE_SECONDS = 0.35
 
-# How long an opening packet waits for a target that is about to be known or back. Unit:
-# seconds. Source: a caller gives an opening up after 1.4 s; a restart takes 1-2 s.
-HOLD_SECONDS = 1.0
-MAX_HELD_OPENINGS = 2_000
-# The share of a route's objective for which an opening packet waits for a free slot.
-HELD_SHARE = 0.5
 # How long after its start a balancer may not yet know all targets. Unit: seconds.
 # Source: three introductions to control and the statuses that they bring.
 LEARN_SECONDS = 2.5
@@ -91,13 +87,17 @@
 
 @dataclass(slots=True)
 class Flow:
-    """Remember where a flow was placed; ``seen_at`` is in seconds."""
+    """Remember where a flow was placed; times are in seconds.
+
+    ``began`` is when the caller sent its opening packet first.
+    """
 
     address: str
     service: str
     sequence: int
     opening: bool
     seen_at: float
+    began: float
     offers: Offers = NO_OFFERS
     along_at: float = float("inf")
 
@@ -106,19 +106,6 @@
         return now - self.along_at >= CONFIRMED_SECONDS
 
 
-@dataclass(slots=True)
-class Opening:
-    """Hold an opening packet that waits for a target; times are in seconds.
-
-    ``since`` is when a target could first have taken it, None before.
-    """
-
-    segment: Segment
-    began: float
-    deadline: float
-    since: float | None = None
-
-
 @dataclass(slots=True)
 class Counters:
     """Count what happened since the start."""
@@ -143,7 +130,7 @@
         observe: Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self.routes = RouteTable()
-        self.openings: dict[bytes, Opening] = {}
+        self.openings = Openings()
         self._expected: dict[str, float] = {}
         self._learned_at = now + LEARN_SECONDS
         self._is_listed = False
@@ -173,9 +160,11 @@
         if address not in self.targets:
             self._expected.setdefault(address, now)
 
-    def finish_list(self) -> None:
-        """Take the word that all agents have been listed by now."""
+    def finish_list(self, named: frozenset[str]) -> None:
+        """Take the list of all agents; others are not waited for any more."""
         self._is_listed = True
+        for address in self._expected.keys() - named:
+            del self._expected[address]
 
     def is_learning(self, now: float) -> bool:
         """Tell whether this balancer may not know all targets yet.
@@ -215,7 +204,8 @@
 
     def _add(self, address: str, status: Status, now: float) -> None:
         warm_at = now + status.warm_left / 1000
-        self.targets[address] = Target(address, status, now, warm_at)
+        self.targets[address] = target = Target(address, status, now, warm_at)
+        target.take(status, now)
         self._expected.pop(address, None)
         for search in self.searches.values():
             search.add(address, status.service)
@@ -262,7 +252,7 @@
         )
         if segment.opens:
             if message.reason == Reason.FULL and address in self.targets:
-                self.targets[address].correct(message.load)
+                self.targets[address].correct(message.load, now)
             return self._offer_again(address, message.reason, segment, flow, now)
         search = self.searches.get(segment.key)
         if flow is not None and flow.address == address and search is None:
@@ -273,18 +263,33 @@
         return self._search(segment, frozenset((address,)), now)
 
     def open_again(self, now: float) -> list[Action]:
-        """Offer the opening packets that wait; call when a load has changed."""
+        """Offer the opening packets that wait; call when a load has changed.
+
+        The first of a service that must go on waiting is the youngest, and all behind
+        it are worse off.
+        """
         actions: list[Action] = []
-        for key, opening in tuple(self.openings.items()):
-            found = self._open(opening.segment, self.flows.get(key), now)
+        stuck: set[str] = set()
+        for opening in self.openings.list_young_first():
+            segment = opening.segment
+            route = self.routes.find(segment.place)
+            service = choose_service(route, segment.key) if route else ""
+            is_over = now >= opening.deadline or (
+                route is not None and now - opening.began >= find_patience(route)
+            )
+            if service in stuck and not is_over:
+                continue
+            found = self._open(segment, self.flows.get(segment.key), now)
             if found:
-                del self.openings[key]
+                self.openings.drop(segment.key)
                 actions += found
                 self._observe(now - opening.began)
             elif now >= opening.deadline:
-                del self.openings[key]
+                self.openings.drop(segment.key)
                 self.counters.refused += 1
-                actions.append(Reset(opening.segment, "no_target_in_time"))
+                actions.append(Reset(segment, "no_target_in_time"))
+            else:
+                stuck.add(service)
         return actions
 
     def take_told(
@@ -313,96 +318,112 @@
                 flow.seen_at = now
                 return [self._deliver(flow.address, flow.service, segment)]
         service = choose_service(route, segment.key)
-        if self._is_better_later(segment, route, service, now):
-            return self._hold(segment, now, since=now)
-        return self._place(segment, service, NO_OFFERS, now)
-
-    def _is_better_later(
-        self, segment: Segment, route: Route, service: str, now: float
-    ) -> bool:
-        """Tell whether an opening packet should wait here instead of at a target.
-
-        When every target has a queue, a flow that is bound to one now waits behind
-        that queue alone, and is turned away when it is full; here it goes wherever a
-        slot comes free first. After a restart the first target that speaks would else
-        get all that has waited. A word on a load is some service times old: only a
-        queue that will not be gone by then counts, one as long as the objective.
-        """
-        targets = self._by_service.get(service, [])
-        best = choose_target(targets, frozenset(), self._draw, now)
-        opening = self.openings.get(segment.key)
-        if best is None:
-            return False
-        objective = route.objective / 1000
+        return self._admit(segment, route, service, NO_OFFERS, now)
+
+    def _find_began(self, segment: Segment, now: float) -> float:
+        """Return when the caller sent the first copy of an opening packet."""
+        opening = self.openings.find(segment.key)
         if opening is not None:
-            opening.since = now if opening.since is None else opening.since
-            until = opening.since + HELD_SHARE * objective
-            if now >= min(until, opening.deadline):
-                return False
-        return best.estimate_wait(now) > objective
+            return opening.began
+        flow = self.flows.get(segment.key)
+        if flow is not None and flow.opening and flow.sequence == segment.sequence:
+            return flow.began
+        return now - segment.waited
 
-    def _place(
-        self, segment: Segment, service: str, offers: Offers, now: float
+    def _admit(
+        self,
+        segment: Segment,
+        route: Route,
+        service: str,
+        offers: Offers,
+        now: float,
     ) -> list[Action]:
+        """Place a new flow, keep it for a while, or refuse it."""
+        target = self._choose(service, offers, now)
+        if target is None:
+            return self._go_without(segment, service, offers, now)
+        age = now - self._find_began(segment, now)
+        verdict = judge_opening(target, age, route, now)
+        if verdict == Verdict.HOLD:
+            return self._hold(segment, now)
+        if verdict == Verdict.REFUSE:
+            return self._refuse(segment, service, offers, "overload")
+        limit = limit_requests(target, age, route, len(offers.corrected), now)
+        return self._place(segment, service, target, offers, limit, now)
+
+    def _choose(self, service: str, offers: Offers, now: float) -> Target | None:
         targets = self._by_service.get(service, [])
-        tried = offers.tried
-        is_forced = len(offers.corrected) >= MAX_CORRECTIONS
         target = None
-        if len(tried) < MAX_OFFERS:
-            target = choose_target(targets, tried, self._draw, now)
+        if len(offers.tried) < MAX_OFFERS:
+            target = choose_target(targets, offers.tried, self._draw, now)
         if target is None and offers.corrected:
             # The agents left are all more loaded than was believed, which is no
             # reason to refuse the flow: the target itself decides.
-            is_forced = True
-            refused = tried - offers.corrected
+            refused = offers.tried - offers.corrected
             target = choose_target(targets, refused, self._draw, now)
-        untried = [found for found in targets if found.address not in tried]
-        if target is None and self._is_worth_waiting(untried, now):
+        return target
+
+    def _go_without(
+        self, segment: Segment, service: str, offers: Offers, now: float
+    ) -> list[Action]:
+        """Keep a flow that no target can take while one may be back, or refuse it."""
+        untried = [
+            found
+            for found in self._by_service.get(service, [])
+            if found.address not in offers.tried
+        ]
+        if self._is_worth_waiting(untried, now):
             return self._hold(segment, now)
-        if target is None:
-            # Nobody can take it: the caller that is told at once can try again in
-            # time; one that is left waiting learns it only after 1.4 s.
-            self.counters.refused += 1
-            self.flows.pop(segment.key, None)
-            self._tell_event(
-                "flow_refused",
-                flow=segment.key.hex(),
-                service=service,
-                offered=len(tried),
-                targets=len(targets),
-            )
-            return [Reset(segment, "no_target")]
+        return self._refuse(segment, service, offers, "no_target")
+
+    def _refuse(
+        self, segment: Segment, service: str, offers: Offers, reason: str
+    ) -> list[Action]:
+        """Tell the caller at once, while it has time to try again."""
+        self.counters.refused += 1
+        self.flows.pop(segment.key, None)
+        self._tell_event(
+            "flow_refused",
+            flow=segment.key.hex(),
+            service=service,
+            reason=reason,
+            offered=len(offers.tried),
+            targets=len(self._by_service.get(service, [])),
+        )
+        return [Reset(segment, reason)]
+
+    def _place(
+        self,
+        segment: Segment,
+        service: str,
+        target: Target,
+        offers: Offers,
+        limit: int,
+        now: float,
+    ) -> list[Action]:
         self.counters.placed += 1
-        target.placed.append(now)
+        target.place(now)
         self._tell_event(
             "flow_placed",
             flow=segment.key.hex(),
             peer=target.address,
             load=f"{target.estimate_load(now):.2f}",
             age_ms=int(1000 * (now - target.heard_at)),
-            offered=len(tried),
-            candidates=len(targets),
+            offered=len(offers.tried),
+            candidates=len(self._by_service.get(service, [])),
         )
         self._remember(segment, target, True, offers, now)
-        believed = NO_LIMIT if is_forced else target.count_requests() - 1
-        message = Deliver(make_tag(service), segment.raw, believed)
+        message = Deliver(make_tag(service), segment.raw, limit)
         return [Send(target.address, message)]
 
-    def _hold(
-        self, segment: Segment, now: float, since: float | None = None
-    ) -> list[Action]:
-        """Keep an opening packet until a target is known.
+    def _hold(self, segment: Segment, now: float) -> list[Action]:
+        """Keep an opening packet until a target is known or free.
 
         A caller that is reset tries again at once, and has used up its tries some
         milliseconds later, long before a fleet that restarts is back.
         """
-        opening = self.openings.get(segment.key)
-        if opening is not None:
-            opening.segment = segment
-        elif len(self.openings) < MAX_HELD_OPENINGS:
-            self.openings[segment.key] = Opening(
-                segment, now, now + HOLD_SECONDS, since
-            )
+        self.openings.keep(segment, self._find_began(segment, now))
+        self.flows.pop(segment.key, None)
         return []
 
     def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
@@ -433,7 +454,7 @@
             return [Reset(segment, "no_route")]
         service = choose_service(route, segment.key)
         offers = (flow.offers if flow else NO_OFFERS).add(address, reason)
-        return self._place(segment, service, offers, now)
+        return self._admit(segment, route, service, offers, now)
 
     def _remember(
         self,
@@ -443,6 +464,7 @@
         offers: Offers,
         now: float,
     ) -> None:
+        began = self._find_began(segment, now) if opening else now
         if len(self.flows) >= MAX_FLOWS:
             self.flows.pop(next(iter(self.flows)))
         self.flows[segment.key] = Flow(
@@ -451,6 +473,7 @@
             segment.sequence,
             opening,
             now,
+            began,
             offers,
         )
 
@@ -541,7 +564,7 @@
     def _note_flow(self, key: bytes, target: Target, now: float) -> None:
         if key not in self.flows and len(self.flows) < MAX_FLOWS:
             service = target.status.service
-            self.flows[key] = Flow(target.address, service, 0, False, now)
+            self.flows[key] = Flow(target.address, service, 0, False, now, now)
 
     def _list_holders(self, key: bytes) -> list[Target]:
         """Return all targets that may hold a flow, those of its service first.
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -22,11 +22,16 @@
 
 
 class Answer(IntEnum):
-    """Tell whether a target holds a flow; MAYBE: its agent started after it."""
+    """Tell whether a target holds a flow.
+
+    MAYBE: its agent started after it. UNHEARD: its agent has not even heard it since;
+    there may be no target at all.
+    """
 
     HELD = 0
     NOT_HELD = 1
     MAYBE = 2
+    UNHEARD = 3
 
 
 class Reason(IntEnum):
@@ -69,13 +74,13 @@
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
     """Ask an agent to hand a packet to its target, of the service ``tag``.
 
-    ``believed`` is how many requests the balancer thinks are at the target; it counts
-    for opening packets alone, and NO_LIMIT asks the agent to leave it to the target.
+    ``limit`` is how many requests may be there for an opening packet to be handed
+    over; NO_LIMIT asks the agent to leave it to the target.
     """
 
     tag: int
     packet: bytes
-    believed: int = NO_LIMIT
+    limit: int = NO_LIMIT
 
 
 class Returned(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -103,8 +108,9 @@
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Hand a packet to a target of the service ``tag`` to learn whether it holds it.
 
-    The answer is Told when it does not, and silence when it does: the packet itself
-    need not come back, since the balancer keeps it.
+    The answer is Told: not held when the target sent the packet back, which itself
+    need not come back, since the balancer keeps it; held when the target answered the
+    caller. A target that takes a packet may also answer nothing for a while.
     """
 
     tag: int
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-
-import msgspec
+from math import ceil
 
 from .messages import Status, TargetState
 
@@ -31,18 +30,31 @@
 # How long a flow that was placed may not show in its target's word yet. Unit: seconds.
 # Source: the handshake and the request take some round trips.
 UNTOLD_SECONDS = 0.02
+# How much of a target's speed goes into the queue that its last word told of; the rest
+# goes to requests that came since. No unit. Source: targets run at half of what they
+# can do on an ordinary day.
+DRAIN_SHARE = 0.5
 # Factor on the load of a target that is still cold. Source: twice as slow at most.
 COLD_FACTOR = 1.8
 
 
 @dataclass(slots=True)
 class Target:
-    """Hold what a balancer knows of one target; times are seconds of its clock."""
+    """Hold what a balancer knows of one target; times are seconds of its clock.
+
+    ``load`` is how many requests were there at ``load_at``. Words come each 0.1-0.4 s,
+    in which a target serves many requests: the load is taken to drain meanwhile, except
+    ``corrected``, when the agent refused a flow and tells on its own when a slot is
+    free.
+    """
 
     address: str
     status: Status
     heard_at: float
     warm_at: float
+    load: float = 0.0
+    load_at: float = 0.0
+    corrected: bool = False
     placed: list[float] = field(default_factory=list)
 
     def take(self, status: Status, now: float) -> None:
@@ -51,12 +63,20 @@
         self.status = status
         self.heard_at = now
         self.warm_at = now + status.warm_left / 1000
+        self.load, self.load_at = status.active + len(self.placed), now
+        self.corrected = False
 
-    def correct(self, load: int) -> None:
+    def correct(self, load: int, now: float) -> None:
         """Take the load that the agent told when it refused a flow."""
-        self.status = msgspec.structs.replace(self.status, active=load)
+        self.load, self.load_at = load, now
+        self.corrected = True
         self.placed = []
 
+    def place(self, now: float) -> None:
+        """Count a flow that was sent there."""
+        self.load, self.load_at = self.count_requests(now) + 1, now
+        self.placed.append(now)
+
     def is_candidate(self, now: float) -> bool:
         """Tell whether new flows may go there."""
         return self.status.state == TargetState.OPEN and not self.is_silent(now)
@@ -78,26 +98,38 @@
             return False
         return now - self.heard_at < RETURN_SECONDS
 
-    def count_requests(self) -> int:
-        """Return the requests at work or waiting, with flows placed since the word."""
-        return self.status.active + len(self.placed)
+    def count_requests(self, now: float) -> float:
+        """Return the requests that are likely at work or waiting there."""
+        if self.corrected:
+            return self.load
+        slots = max(1, self.status.slots)
+        drained = DRAIN_SHARE * (now - self.load_at) * slots
+        return max(0.0, self.load - drained / self.estimate_service(now))
 
     def count_rounds(self, now: float) -> int:
         """Return how often all slots are taken by what is there; 0 when one is free."""
         slots = max(1, self.status.slots)
-        return int(self._slow_down(now) * self.count_requests() / slots)
+        return ceil(self._slow_down(now) * self.count_requests(now)) // slots
 
     def estimate_load(self, now: float) -> float:
         """Return the requests per slot that a new flow would find and be."""
-        load = self.count_requests() + IDLE_FLOW_LOAD * self.status.flows
+        load = self.count_requests(now) + IDLE_FLOW_LOAD * self.status.flows
         return self._slow_down(now) * (load + 1) / max(1, self.status.slots)
 
     def estimate_wait(self, now: float) -> float:
         """Return the seconds that a request of a new flow would wait for a slot."""
         slots = max(1, self.status.slots)
-        before = max(0, self.count_requests() + 1 - slots)
+        before = max(0.0, self.count_requests(now) + 1 - slots)
+        return self.estimate_service(now) * before / slots
+
+    def estimate_service(self, now: float) -> float:
+        """Return the seconds that a request takes once it has a slot."""
         service = self.status.service_us / 1e6 or UNKNOWN_SERVICE_SECONDS
-        return self._slow_down(now) * service * before / slots
+        return self._slow_down(now) * service
+
+    def is_measured(self) -> bool:
+        """Tell whether its time of service is known."""
+        return self.status.service_us > 0
 
     def _slow_down(self, now: float) -> float:
         return COLD_FACTOR if now < self.warm_at else 1.0
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -12,8 +12,12 @@
 MEAN_WEIGHT = 0.1
 # A request without an answer for this long does not count as load any more: its caller
 # has given it up, or it was lost. Unit: seconds. Source: the longest time in a slow
-# target behind its full queue, with a margin.
+# target behind its full queue, with a margin; a route's timeout goes first.
 UNANSWERED_SECONDS = 2.5
+# A request has been left out by its target once so many rounds of later ones were
+# answered. Unit: rounds of all slots. Source: a target takes requests in turn; one that
+# takes six times as long as the mean is overtaken by five in each other slot.
+OVERTAKEN_ROUNDS = 5
 HALF_SPACE = SEQUENCE_SPACE // 2
 
 
@@ -23,21 +27,28 @@
 
     next_inward: int | None = None
     started_at: float = 0.0
-    active: bool = False
     waited: bool = False
+    overtaken: int = 0
     name: str = ""
 
 
 class RequestLog:
-    """Count the requests at work or waiting in one target."""
+    """Count the requests at work or waiting in one target.
+
+    A target drops requests whose callers have left, and tells nobody. Counted on, nine
+    of them made an idle target look full: flows were refused for seconds while its slot
+    was free. So a request counts until its answer begins, its caller ends the flow, its
+    route's timeout is over, or later ones have overtaken it for too long.
+    """
 
     def __init__(
         self,
         tell: Callable[..., None],
         observe: Callable[[float], None] = lambda seconds: None,
+        find_timeout: Callable[[bytes], float] = lambda key: UNANSWERED_SECONDS,
     ) -> None:
         self._observe = observe
-        self.active = 0
+        self._find_timeout = find_timeout
         self.finished = 0
         # Mean time of service of requests that found a free slot, in seconds: what
         # waited tells of the queue and not of the target.
@@ -45,6 +56,13 @@
         self.slots = 1
         self._tell_event = tell
         self._exchanges: dict[bytes, Exchange] = {}
+        # Those in progress, in the order of their start.
+        self._active: dict[bytes, Exchange] = {}
+
+    @property
+    def active(self) -> int:
+        """Return how many requests are at work or waiting."""
+        return len(self._active)
 
     def note_inward(self, segment: Segment, now: float) -> None:
         """Take a packet towards the target; new data begin a request.
@@ -68,13 +86,13 @@
         if known == end:
             return
         exchange.next_inward = end
-        if exchange.active:
+        if segment.key in self._active:
             return
-        exchange.active = True
         exchange.waited = self.active >= self.slots
         exchange.started_at = now
+        exchange.overtaken = 0
         exchange.name = find_request_id(segment.data)
-        self.active += 1
+        self._active[segment.key] = exchange
         self._tell_event(
             "request_started",
             request=exchange.name,
@@ -86,11 +104,10 @@
         """Take a packet of the target; an answer's first one ends the wait."""
         if not segment.data.startswith(RESPONSE_MARK):
             return
-        exchange = self._exchanges.get(segment.key)
-        if exchange is None or not exchange.active:
+        exchange = self._active.pop(segment.key, None)
+        if exchange is None:
             return
-        exchange.active = False
-        self.active -= 1
+        self._overtake(exchange)
         self.finished += 1
         taken = now - exchange.started_at
         self._observe(taken)
@@ -111,31 +128,44 @@
         else:
             self.mean_seconds = taken
 
+    def _overtake(self, answered: Exchange) -> None:
+        """Leave out earlier requests that too many later ones have overtaken."""
+        limit = OVERTAKEN_ROUNDS * self.slots
+        for key, exchange in tuple(self._active.items()):
+            if exchange.started_at >= answered.started_at:
+                return
+            exchange.overtaken += 1
+            if exchange.overtaken >= limit:
+                self._leave_out(key, "overtaken")
+
     def sweep(self, now: float) -> None:
-        """Leave out requests that were never answered."""
-        for key, exchange in tuple(self._exchanges.items()):
-            if exchange.active and now - exchange.started_at >= UNANSWERED_SECONDS:
-                self._tell_event(
-                    "request_unanswered", request=exchange.name, flow=key.hex()
-                )
-                self._give_up(key)
+        """Leave out requests whose callers do not wait any more."""
+        for key, exchange in tuple(self._active.items()):
+            limit = min(self._find_timeout(key), UNANSWERED_SECONDS)
+            if now - exchange.started_at >= limit:
+                self._leave_out(key, "timeout")
+
+    def _leave_out(self, key: bytes, reason: str) -> None:
+        exchange = self._active.pop(key)
+        self._tell_event(
+            "request_unanswered",
+            request=exchange.name,
+            flow=key.hex(),
+            reason=reason,
+        )
 
     def _give_up(self, key: bytes) -> None:
-        exchange = self._exchanges.get(key)
-        if exchange is not None and exchange.active:
-            exchange.active = False
-            self.active -= 1
+        self._active.pop(key, None)
 
     def end(self, key: bytes) -> None:
         """Forget a flow."""
-        exchange = self._exchanges.pop(key, None)
-        if exchange is not None and exchange.active:
-            self.active -= 1
+        self._exchanges.pop(key, None)
+        self._active.pop(key, None)
 
     def clear(self) -> None:
         """Forget all flows."""
         self._exchanges.clear()
-        self.active = 0
+        self._active.clear()
 
 
 def find_request_id(data: bytes) -> str:
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -51,13 +51,20 @@
         self.asked_at = float("-inf")
 
     def find_holder(self, now: float, patience: float) -> str | None:
-        """Return who holds the flow, or who kept the packet it was probed with."""
+        """Return who holds the flow, or who kept the packet it was probed with.
+
+        Silence does not tell that a target has kept it whose agent has not heard it:
+        a host that was started again without its target drew all dead flows, and
+        their callers waited in vain.
+        """
         for address, answer in self.answers.items():
             if answer == Answer.HELD:
                 return address
         if not self.probes or now < self.probed_at + patience:
             return None
-        kept = self._list_maybe()
+        kept = [
+            address for address, found in self.answers.items() if found == Answer.MAYBE
+        ]
         # At most one can hold it: while more are silent, probes were lost.
         if len(kept) == 1 or (kept and self.probes >= MAX_PROBES):
             return kept[0]
@@ -87,7 +94,7 @@
         return [
             address
             for address, answer in self.answers.items()
-            if answer == Answer.MAYBE
+            if answer in (Answer.MAYBE, Answer.UNHEARD)
         ]
 
     def ask(self, now: float) -> tuple[str, ...]:
--- a/ibisshunt/coordination/forwarding/segment.py
+++ b/ibisshunt/coordination/forwarding/segment.py
@@ -10,7 +10,8 @@
     """Hold the fields of a packet that decisions rest on.
 
     ``key`` names the flow in both directions: the caller's address and port, then the
-    service's. ``raw`` is the packet as it travels.
+    service's. ``raw`` is the packet as it travels. ``waited`` is for how many seconds
+    the caller had waited when it sent this copy of an opening packet.
     """
 
     key: bytes
@@ -24,6 +25,7 @@
     resets: bool = False
     returned: bool = False
     origin: bytes = b""
+    waited: float = 0.0
 
     @property
     def place(self) -> bytes:
--- a/ibisshunt/platform/packet.py
+++ b/ibisshunt/platform/packet.py
@@ -12,6 +12,9 @@
 _ECHO = slice(15, 19)
 HEAD_BYTES = _HEAD.size
 SYN, ACK, FIN, RST, BOUNCED = 64, 4, 128, 8, 2
+# When a caller sends the copies of an opening packet, which ``ack`` counts there. Unit:
+# seconds after the first. Source: the platform's page on flows.
+_COPY_SECONDS = (0.0, 0.2, 0.6)
 
 
 def parse_inward(packet: bytes) -> Segment | None:
@@ -62,6 +65,7 @@
 def _make(
     key: bytes, packet: bytes, flags: int, echo: bytes, seq: int, ack: int
 ) -> Segment:
+    copies = ack if flags & SYN and not flags & ACK else 0
     return Segment(
         key,
         packet,
@@ -74,6 +78,7 @@
         bool(flags & RST),
         bool(flags & BOUNCED),
         echo,
+        _COPY_SECONDS[min(copies, len(_COPY_SECONDS) - 1)],
     )
 
 
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -104,10 +104,17 @@
         except ConfigurationError as error:
             warn_event("configuration_refused", reason=error.fault.reason)
             return None
-        task.agent.version = found.version
+        task.agent.take_routes(found)
         return found.version
 
-    directory = NodeDirectory(inner, NodeRole.AGENT, settings.seeds, take, task.meet)
+    directory = NodeDirectory(
+        inner,
+        NodeRole.AGENT,
+        settings.seeds,
+        take,
+        task.meet,
+        is_empty=task.has_lost_target,
+    )
     kernel.spawn("inner", inner.run)
     kernel.spawn("directory", directory.run)
     kernel.spawn("outward", task.run)
@@ -118,6 +125,8 @@
 
     def unload() -> None:
         task.stop()
+        if task.has_lost_target():
+            directory.leave()
         server.stop()
 
     kernel.register("agent", task, unload=unload, dump=task.dump)
--- a/tests/coordination/forwarding/test_requests.py
+++ b/tests/coordination/forwarding/test_requests.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from ibisshunt.coordination.forwarding.requests import (
+    OVERTAKEN_ROUNDS,
     UNANSWERED_SECONDS,
     RequestLog,
     find_request_id,
@@ -122,3 +123,34 @@
         assert 0 <= log.active <= 3
     log.sweep(now + UNANSWERED_SECONDS + 0.01)
     assert log.active == 0
+
+
+def test_a_request_that_later_ones_overtake_is_no_load():
+    # A target drops a request whose caller has left, and goes on with those behind it.
+    # Counted until a timeout, it would make the idle target look full.
+    log = make_log()
+    log.note_inward(inward(1), 1.0)
+    for number in range(OVERTAKEN_ROUNDS):
+        assert log.active == 1
+        log.note_inward(inward(2 + number), 1.1 + number)
+        log.note_outward(outward(2 + number), 1.15 + number)
+    assert log.active == 0
+
+
+def test_a_request_on_another_slot_is_still_at_work_while_some_overtake_it():
+    log = make_log()
+    log.slots = 3
+    log.note_inward(inward(1), 1.0)
+    for number in range(OVERTAKEN_ROUNDS * 3 - 1):
+        log.note_inward(inward(2 + number), 1.1)
+        log.note_outward(outward(2 + number), 1.15)
+    assert log.active == 1
+
+
+def test_a_request_stops_to_count_when_its_route_times_out():
+    log = RequestLog(lambda event, **fields: None, find_timeout=lambda key: 0.5)
+    log.note_inward(inward(), 1.0)
+    log.sweep(1.49)
+    assert log.active == 1
+    log.sweep(1.5)
+    assert log.active == 0
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -52,12 +52,16 @@
 
     first: int
     full: bool = False
+    is_there: bool = True
+    answers: bool = False
     flows: dict = field(default_factory=dict)
     taken: list = field(default_factory=list)
     strays: list = field(default_factory=list)
 
     def take(self, segment, origin):
         """Return the packet that the target sends in turn, or None."""
+        if not self.is_there:
+            return None
         if segment.opens:
             if self.full:
                 return replace(segment, returned=True, origin=origin)
@@ -77,7 +81,9 @@
             self.strays.append(segment)
             return replace(segment, returned=True, origin=origin)
         self.taken.append(segment)
-        return None
+        if not self.answers:
+            return None
+        return Segment(segment.key, b"ack", b"", first + 1, 1, acknowledges=True)
 
 
 class World:
@@ -124,6 +130,12 @@
         found = Announcement(name, agent.service, slots, draining, 0, number)
         agent.announce(found, self.now)
 
+    def load(self, address, count):
+        """Let callers of other flows have ``count`` requests at a target."""
+        for number in range(count):
+            key = make_key(50_001 + number)
+            self.agents[address].requests.note_inward(data_segment(key, 1), self.now)
+
     def tell_all(self):
         """Let each agent that is heard tell all balancers of its target."""
         for address, agent in self.agents.items():
@@ -221,6 +233,8 @@
                 self._follow(balancer, address, answer, segment)
         elif isinstance(answer, ToCaller):
             self.to_callers.append((address, answer.segment))
+            if found := self.agents[address].confirm(answer.segment):
+                self._tell(found.peer, address, found.message)
         elif isinstance(answer.message, Told):
             self._tell(answer.peer, address, answer.message)
         elif isinstance(answer.message, Returned):
