--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -156,8 +156,8 @@
     def _take_status(self, peer: str, status: Status) -> None:
         now = read_clock()
         self.balancer.learn(peer, status, now)
-        # A word that tells of no free slot lets none of them go; the sweep looks again.
-        if self.balancer.openings and status.active < status.slots:
+        # A word that tells of a queue lets none of them go; the sweep looks again.
+        if self.balancer.openings and status.active <= status.slots:
             self._carry_out(self.balancer.open_again(now))
 
     def _take_returned(self, peer: str, message: Returned) -> None:
--- a/ibisshunt/coordination/forwarding/admission.py
+++ b/ibisshunt/coordination/forwarding/admission.py
@@ -92,7 +92,10 @@
     wait = best.estimate_wait(now)
     service = best.estimate_service(now)
     objective = route.objective / 1000
-    if not wait or age + wait + service <= objective:
+    # One request may wait at a target, so that its slot is not empty until balancers
+    # hear of it.
+    is_next = wait * max(1, best.status.slots) <= service
+    if is_next or age + wait + service <= objective:
         return Verdict.PLACE
     if age < find_patience(route):
         return Verdict.HOLD
