Keep new flows from targets that fail more often than their service's others

Cause: a grey target answers errors at once, is always idle, and by load alone draws every new flow. Its agent sees each answer; health pages may lie, so they are not asked. Failures: status 500 or more, a reset, no answer in time.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -178,6 +178,7 @@
             max(0, int(1000 * (self._warm_at - now))),
             self.routes.version,
             self.knows_all(now),
+            round(100 * self.requests.estimate_failing(now)),
         )
 
     def take_routes(self, routes: RouteTable) -> None:
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -56,6 +56,7 @@
     the requests at work or waiting and the flows that have just opened. ``service_us``
     is the mean time of service in microseconds, 0 when unknown; ``warm_left`` is in
     milliseconds, counted from the sending; ``version`` is the agent's configuration.
+    ``failing`` is which share of the last requests failed, in percent.
     """
 
     start: int
@@ -69,6 +70,7 @@
     warm_left: int
     version: int
     knows_all: bool
+    failing: int = 0
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -38,6 +38,11 @@
 COLD_FACTOR = 1.8
 
 
+# Which share of failures, above twice the median of the service, keeps new flows away.
+# Unit: percent. Source: above one failure in the last ten answers, which is chance.
+FAILING_PERCENT = 15
+
+
 @dataclass(slots=True)
 class Target:
     """Hold what a balancer knows of one target; times are seconds of its clock.
@@ -135,6 +140,20 @@
         return COLD_FACTOR if now < self.warm_at else 1.0
 
 
+def leave_failing_out(targets: list[Target]) -> list[Target]:
+    """Return the targets that do not fail much more often than the others.
+
+    A target that fails at once is always idle: without this it gets every new flow. At
+    least half of the targets stay, those up to the median, so that a service whose
+    targets all fail loses none.
+    """
+    shares = sorted(target.status.failing for target in targets)
+    limit = FAILING_PERCENT + 2 * shares[(len(shares) - 1) // 2]
+    if shares[-1] <= limit:
+        return targets
+    return [target for target in targets if target.status.failing <= limit]
+
+
 def choose_target(
     targets: Iterable[Target],
     tried: frozenset[str],
@@ -155,6 +174,7 @@
     ]
     if not fresh:
         return None
+    fresh = leave_failing_out(fresh)
     rounds = [target.count_rounds(now) for target in fresh]
     least = min(rounds)
     best = [
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -10,6 +10,12 @@
 # Weight of the newest request in the mean time of service. No unit. Source: the mean
 # of about the last ten.
 MEAN_WEIGHT = 0.1
+# Weight of the newest answer in the share of failures. No unit. Source: as above.
+FAILING_WEIGHT = 0.1
+# In which time a share of failures halves when nothing is answered, so that a target
+# that is left out is tried again. Unit: seconds. Source: endpoints fail for 3-8 s.
+FAILING_HALF_LIFE = 2.0
+FIRST_FAILURE_STATUS = 500
 # A request without an answer for this long does not count as load any more: its caller
 # has given it up, or it was lost. Unit: seconds. Source: the longest time in a slow
 # target behind its full queue, with a margin; a route's timeout goes first.
@@ -54,6 +60,8 @@
         # waited tells of the queue and not of the target.
         self.mean_seconds = 0.0
         self.slots = 1
+        self._failing = 0.0
+        self._failing_at = 0.0
         self._tell_event = tell
         self._exchanges: dict[bytes, Exchange] = {}
         # Those in progress, in the order of their start.
@@ -102,12 +110,15 @@
 
     def note_outward(self, segment: Segment, now: float) -> None:
         """Take a packet of the target; an answer's first one ends the wait."""
+        if segment.resets and segment.key in self._active:
+            self._note_outcome(True, now)
         if not segment.data.startswith(RESPONSE_MARK):
             return
         exchange = self._active.pop(segment.key, None)
         if exchange is None:
             return
-        self._overtake(exchange)
+        self._overtake(exchange, now)
+        self._note_outcome(find_status(segment.data) >= FIRST_FAILURE_STATUS, now)
         self.finished += 1
         taken = now - exchange.started_at
         self._observe(taken)
@@ -117,7 +128,7 @@
             "request_answered",
             request=exchange.name,
             flow=segment.key.hex(),
-            status=segment.data[9:12].decode("ascii", "replace"),
+            status=find_status(segment.data),
             took_ms=int(1000 * taken),
             active=self.active,
         )
@@ -128,7 +139,16 @@
         else:
             self.mean_seconds = taken
 
-    def _overtake(self, answered: Exchange) -> None:
+    def estimate_failing(self, now: float) -> float:
+        """Return which share of the last requests failed, 0 to 1."""
+        return self._failing * 0.5 ** ((now - self._failing_at) / FAILING_HALF_LIFE)
+
+    def _note_outcome(self, failed: bool, now: float) -> None:
+        share = self.estimate_failing(now)
+        self._failing = share + FAILING_WEIGHT * (failed - share)
+        self._failing_at = now
+
+    def _overtake(self, answered: Exchange, now: float) -> None:
         """Leave out earlier requests that too many later ones have overtaken."""
         limit = OVERTAKEN_ROUNDS * self.slots
         for key, exchange in tuple(self._active.items()):
@@ -136,17 +156,18 @@
                 return
             exchange.overtaken += 1
             if exchange.overtaken >= limit:
-                self._leave_out(key, "overtaken")
+                self._leave_out(key, "overtaken", now)
 
     def sweep(self, now: float) -> None:
         """Leave out requests whose callers do not wait any more."""
         for key, exchange in tuple(self._active.items()):
             limit = min(self._find_timeout(key), UNANSWERED_SECONDS)
             if now - exchange.started_at >= limit:
-                self._leave_out(key, "timeout")
+                self._leave_out(key, "timeout", now)
 
-    def _leave_out(self, key: bytes, reason: str) -> None:
+    def _leave_out(self, key: bytes, reason: str, now: float) -> None:
         exchange = self._active.pop(key)
+        self._note_outcome(True, now)
         self._tell_event(
             "request_unanswered",
             request=exchange.name,
@@ -168,6 +189,12 @@
         self._active.clear()
 
 
+def find_status(data: bytes) -> int:
+    """Return the status of an answer's first packet, 0 when it has none."""
+    digits = data[len(RESPONSE_MARK) : len(RESPONSE_MARK) + 3]
+    return int(digits) if digits.isdigit() else 0
+
+
 def find_request_id(data: bytes) -> str:
     """Return the id that a request's first packet carries, or nothing."""
     _, found, rest = data.partition(REQUEST_ID_MARK)
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
@@ -237,3 +238,30 @@
     world.wait(0.4)
     assert len(world.to_callers) == 1
     assert not world.resets
+
+
+def make_failing(percents):
+    statuses = [make_status(slots=3) for _ in percents]
+    return make_balancer(
+        [
+            msgspec.structs.replace(status, failing=percent)
+            for status, percent in zip(statuses, percents, strict=True)
+        ]
+    )
+
+
+def test_a_target_that_fails_at_once_does_not_draw_the_new_flows():
+    # One target of three answers every request with an error within a millisecond. It
+    # is always idle, and by load alone it would get each flow of a busy service.
+    balancer = make_failing([60, 0, 5])
+    for address in ("10.0.2.1", "10.0.2.2"):
+        balancer.targets[address].load = 1
+    placed = {place(balancer, 40_001 + number, 10.0)[0] for number in range(4)}
+    assert placed == {"10.0.2.1", "10.0.2.2"}
+
+
+def test_a_service_whose_targets_all_fail_keeps_them_all():
+    # A fault of the requests, not of one target: leaving all out would be an outage.
+    balancer = make_failing([70, 80, 75])
+    placed = {place(balancer, 40_001 + number, 10.0)[0] for number in range(9)}
+    assert len(placed) == 3
--- a/tests/coordination/forwarding/test_requests.py
+++ b/tests/coordination/forwarding/test_requests.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from ibisshunt.coordination.forwarding.requests import (
+    FAILING_HALF_LIFE,
     OVERTAKEN_ROUNDS,
     UNANSWERED_SECONDS,
     RequestLog,
@@ -154,3 +155,22 @@
     assert log.active == 1
     log.sweep(1.5)
     assert log.active == 0
+
+
+def test_failures_show_at_once_and_fade_while_nothing_is_answered():
+    # A grey target fails part of its requests while its health is good. Its agent sees
+    # the answers; left out, the target is tried again some seconds later.
+    log = make_log()
+    for number in range(10):
+        log.note_inward(inward(number + 1), 1.0)
+        log.note_outward(outward(number + 1, b"HTTP/1.1 500 No\r\n\r\n"), 1.0)
+    assert log.estimate_failing(1.0) > 0.6
+    assert log.estimate_failing(1.0 + 3 * FAILING_HALF_LIFE) < 0.1
+
+
+def test_answers_that_never_come_are_failures():
+    log = make_log()
+    for number in range(5):
+        log.note_inward(inward(number + 1), 1.0)
+    log.sweep(1.0 + UNANSWERED_SECONDS)
+    assert log.estimate_failing(1.0 + UNANSWERED_SECONDS) > 0.4
