--- a/ibisshunt/coordination/forwarding/admission.py
+++ b/ibisshunt/coordination/forwarding/admission.py
@@ -91,7 +91,7 @@
     """
     wait = best.estimate_wait(now)
     service = best.estimate_service(now)
-    objective = route.objective / 1000
+    objective = route.objective_seconds
     # One request may wait at a target, so that its slot is not empty until balancers
     # hear of it.
     is_next = wait * max(1, best.status.slots) <= service
@@ -119,7 +119,7 @@
     if age >= find_patience(route):
         return NO_LIMIT
     slots = max(1, best.status.slots)
-    left = route.objective / 1000 - age
+    left = route.objective_seconds - age
     service = best.estimate_service(now)
     in_time = slots + int(max(0.0, left - service) * slots / service)
     if corrections >= MAX_CORRECTIONS:
--- a/ibisshunt/coordination/forwarding/routes.py
+++ b/ibisshunt/coordination/forwarding/routes.py
@@ -17,7 +17,8 @@
 class Route:
     """Describe what callers reach at one address and port.
 
-    ``timeout`` and ``objective`` are milliseconds; ``priority`` 0 goes first.
+    ``timeout`` and ``objective`` are milliseconds, ``objective`` is 0 when none was set;
+    ``priority`` 0 goes first.
     """
 
     name: str
@@ -27,6 +28,14 @@
     priority: int
     repeatable: bool
 
+    @property
+    def objective_seconds(self) -> float:
+        """Return in which time an answer is wanted; without an objective, the timeout.
+
+        An objective of nothing would make each new flow late from its start.
+        """
+        return (self.objective or self.timeout) / 1000
+
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -265,3 +265,13 @@
     balancer = make_failing([70, 80, 75])
     placed = {place(balancer, 40_001 + number, 10.0)[0] for number in range(9)}
     assert len(placed) == 3
+
+
+def test_a_route_without_an_objective_goes_by_its_timeout():
+    # Five requests wait for 250 ms together, half of the timeout: without an objective
+    # the flow is placed, and not kept as one that is late from its start.
+    balancer = make_balancer([make_status(active=5)])
+    table = make_table(version=2)
+    routes = {key: replace(found, objective=0) for key, found in table.routes.items()}
+    balancer.take_routes(replace(table, routes=routes))
+    assert place(balancer, 40_001, 10.0) == ["10.0.2.0"]
