--- a/ibisshunt/coordination/forwarding/routes.py
+++ b/ibisshunt/coordination/forwarding/routes.py
@@ -17,7 +17,7 @@
 class Route:
     """Describe what callers reach at one address and port.
 
-    ``timeout`` and ``objective`` are milliseconds, ``objective`` is 0 when none was set;
+    ``timeout`` and ``objective`` are milliseconds, an ``objective`` of 0 is none;
     ``priority`` 0 goes first.
     """
 
