--- a/measurements/capacity.py
+++ b/measurements/capacity.py
@@ -10,6 +10,7 @@
 
 from .capacity_control import list_control_rows, list_operator_rows
 from .capacity_days import list_data_rows, list_day_rows
+from .capacity_forwarding import list_forwarding_rows
 from .capacity_nodes import list_agent_rows, list_balancer_rows
 from .capacity_rows import Row, Slope, list_slopes
 
@@ -48,6 +49,7 @@
     "agent": lambda: show_rows(list_agent_rows()),
     "control": lambda: show_rows(list_control_rows()),
     "operator": lambda: show_rows(list_operator_rows()),
+    "forwarding": lambda: show_rows(list_forwarding_rows()),
     "days": lambda: show_rows(list_day_rows()),
     "data": lambda: show_rows(list_data_rows()),
 }
--- a/measurements/capacity_rows.py
+++ b/measurements/capacity_rows.py
@@ -229,6 +229,42 @@
         ("slopes", "status"),
         ("nodes", "reply_bytes", "B"),
     ),
+    "status_taken": (
+        "time to take in one status (platform)",
+        "target",
+        ("forwarding", "balancer"),
+        ("targets", "status_us", "us"),
+    ),
+    "choice": (
+        "time to choose a target (platform)",
+        "target of the service",
+        ("forwarding", "balancer"),
+        ("targets", "choice_us", "us"),
+    ),
+    "question": (
+        "question about a lost flow on the wire (platform)",
+        "agent asked",
+        ("forwarding", "balancer"),
+        ("targets", "question_bytes", "B"),
+    ),
+    "hello_taken": (
+        "time to answer one introduction (platform)",
+        "node",
+        ("forwarding", "control"),
+        ("nodes", "hello_us", "us"),
+    ),
+    "list": (
+        "list of agents on the wire (platform)",
+        "agent",
+        ("forwarding", "control"),
+        ("nodes", "list_bytes", "B"),
+    ),
+    "node_file": (
+        "file of nodes on a control host (platform)",
+        "node",
+        ("forwarding", "control"),
+        ("nodes", "file_bytes", "B"),
+    ),
 }
 
 
--- /dev/null
+++ b/measurements/forwarding.py
@@ -0,0 +1,115 @@
+"""Measure what the platform's programs tell each other: bytes, and time to take it in.
+
+Run ``python -m measurements.forwarding`` and put what it prints into
+``measurements/results/forwarding.json``. Times are processor time of one thread.
+"""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ibisshunt.components.directory.inner import Message
+from ibisshunt.coordination.directory.messages import Hello, NodeRole
+from ibisshunt.coordination.directory.registry import Registry
+from ibisshunt.coordination.forwarding.messages import Ask, Relay, Status, TargetState
+from ibisshunt.coordination.forwarding.placement import choose_target
+from ibisshunt.coordination.forwarding.targets import KnownTargets
+
+TARGETS = (6, 51, 204)
+NODES = (100, 400, 1_600)
+ROUNDS = 2_000
+ENCODE = msgspec.msgpack.Encoder().encode
+DECODE = msgspec.msgpack.Decoder(Message).decode
+
+
+def name_host(number: int) -> str:
+    """Return an IPv4 address of the usual length."""
+    return f"10.{number % 7 + 1}.{number // 200 % 256}.{number % 200 + 10}"
+
+
+def make_status(number: int = 100_000) -> Status:
+    """Return a status as agents send it in the middle of a day."""
+    return Status(
+        1_796_000_000,
+        number,
+        "gatepass",
+        TargetState.OPEN,
+        1,
+        2,
+        40,
+        41_000,
+        0,
+        61,
+        True,
+    )
+
+
+def time_calls(call: Callable[[int], Any]) -> float:
+    """Return the microseconds of one call."""
+    began = time.process_time()
+    for number in range(ROUNDS):
+        call(number)
+    return (time.process_time() - began) / ROUNDS * 1e6
+
+
+def measure_balancer(count: int) -> dict[str, float]:
+    """Return what a balancer spends on a status, and on the choice of a target."""
+    known = KnownTargets(lambda event, **fields: None, 0.0)
+    for number in range(count):
+        known.learn(name_host(number), make_status(1), 0.0)
+    draw = random.Random(7).random
+    targets = known.list_of("gatepass")
+    hosts = [name_host(number) for number in range(count)]
+    packed = [ENCODE(make_status(number + 2)) for number in range(ROUNDS)]
+
+    def take(number: int) -> None:
+        known.learn(hosts[number % count], DECODE(packed[number]), 0.1)
+
+    return {
+        "targets": count,
+        "status_us": time_calls(take),
+        "choice_us": time_calls(
+            lambda number: choose_target(targets, frozenset(), draw, 0.1)
+        ),
+        "question_bytes": len(
+            ENCODE(Relay(tuple(map(name_host, range(count))), Ask(bytes(12), 1 << 31)))
+        ),
+    }
+
+
+def measure_control(count: int) -> dict[str, float]:
+    """Return what a control host spends on introductions among so many agents."""
+    registry = Registry()
+    for number in range(count):
+        registry.take(name_host(number), Hello(NodeRole.AGENT, 61, 0), 61, (), 0.0)
+    welcome = registry.take("10.9.0.1", Hello(NodeRole.BALANCER, 61, 0), 61, (), 0.0)
+    hello = ENCODE(Hello(NodeRole.BALANCER, 61, welcome.digest))
+
+    def take(number: int) -> bytes:
+        return ENCODE(registry.take("10.9.0.1", DECODE(hello), 61, (), 0.1))
+
+    return {
+        "nodes": count,
+        "hello_us": time_calls(take),
+        "list_bytes": len(ENCODE(welcome)),
+        "file_bytes": len(ENCODE(registry.list_known())),
+    }
+
+
+def main() -> None:
+    """Print all figures."""
+    found = {
+        "status_bytes": len(ENCODE(make_status())),
+        "hello_bytes": len(ENCODE(Hello(NodeRole.AGENT, 61, 1 << 31, "cambridge"))),
+        "balancer": [measure_balancer(count) for count in TARGETS],
+        "control": [measure_control(count) for count in NODES],
+    }
+    print(json.dumps(found, indent=1))
+
+
+if __name__ == "__main__":
+    main()
