--- a/tests/coordination/forwarding/test_agent.py
+++ b/tests/coordination/forwarding/test_agent.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 
 from ibisshunt.coordination.forwarding.agent import WAITING_SECONDS
-from ibisshunt.coordination.forwarding.messages import Deliver, Probe, Reason
+from ibisshunt.coordination.forwarding.messages import (
+    Answer,
+    Ask,
+    Deliver,
+    Probe,
+    Reason,
+)
 from ibisshunt.coordination.forwarding.routes import make_tag
 from ibisshunt.coordination.forwarding.segment import Segment
 from tests.forwarding_world import (
@@ -98,3 +104,14 @@
     agent.take(FIRST, Deliver(TAG, b""), end, now)
     agent.take(FIRST, Deliver(TAG, b""), data_segment(make_key(1), 1), now)
     assert agent.requests.active == 0
+
+
+def test_an_agent_says_yes_once_its_target_has_sent_anything_in_a_flow():
+    # The agent started after the flow. It answered maybe, and the flow was found by a
+    # probe; what the target then sent is proof for the next balancer that asks.
+    agent, now = make_agent()
+    agent._knows_all_at = now + 60
+    question = Ask(make_key(1), 5)
+    assert agent.tell(question, now).answer == Answer.MAYBE
+    answer(agent, 1, now)
+    assert agent.tell(question, now).answer == Answer.HELD
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -6,10 +6,16 @@
 import msgspec
 import pytest
 
+from ibisshunt.coordination.forwarding.admission import (
+    MAX_CORRECTIONS,
+    limit_requests,
+)
 from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.messages import (
     NO_LIMIT,
+    Reason,
     Reset,
+    Returned,
     Status,
     TargetState,
 )
@@ -275,3 +281,57 @@
     routes = {key: replace(found, objective=0) for key, found in table.routes.items()}
     balancer.take_routes(replace(table, routes=routes))
     assert place(balancer, 40_001, 10.0) == ["10.0.2.0"]
+
+
+def get_limit(balancer, port, now):
+    (action,) = balancer.take(open_segment(make_key(port)), now)
+    return action.message.limit
+
+
+def test_an_agent_is_told_how_many_requests_a_young_flow_can_stand():
+    # The objective is 100 ms and a request takes 10 ms: nine may be before it on one
+    # slot. The first offers go only to a target about as loaded as was believed.
+    balancer = make_balancer([make_status(active=2, service_us=10_000)])
+    assert get_limit(balancer, 40_001, 10.0) == 3
+    target = balancer.targets["10.0.2.0"]
+    route = balancer.routes.find(make_key()[6:])
+    assert limit_requests(target, 0.0, route, MAX_CORRECTIONS, 10.0) == 10
+    assert limit_requests(target, 0.1, route, MAX_CORRECTIONS, 10.0) == 1
+
+
+def send_back(balancer, port, load, now):
+    """Let the agent refuse a flow for its load; return what the balancer does."""
+    message = Returned(Reason.FULL, b"syn", load)
+    segment = open_segment(make_key(port))
+    return balancer.take_returned("10.0.2.0", message, segment, now)
+
+
+def test_the_youngest_of_those_that_wait_goes_first():
+    balancer = make_balancer([make_status(active=9)])
+    for port, now in ((40_001, 10.0), (40_002, 10.1), (40_003, 10.05)):
+        assert place(balancer, port, now) == []
+    balancer.learn("10.0.2.0", make_status(number=2, active=1), 10.12)
+    (action,) = balancer.sweep(10.12)
+    assert balancer.flows.keys() == {make_key(40_002)}
+    assert action.peer == "10.0.2.0"
+
+
+def test_an_agent_that_refused_a_flow_is_not_asked_again_before_its_word():
+    # It will tell when a slot is free. Asked again as its queue is believed to drain,
+    # with hundreds of flows waiting, it would get an offer a millisecond.
+    balancer = make_balancer([make_status()])
+    assert place(balancer, 40_001, 10.0) == ["10.0.2.0"]
+    assert send_back(balancer, 40_001, 4, 10.01) == []
+    assert balancer.sweep(10.2) == []
+    balancer.learn("10.0.2.0", make_status(number=2), 10.21)
+    assert len(balancer.sweep(10.21)) == 1
+
+
+def test_a_flow_does_not_grow_younger_when_it_is_sent_back():
+    # A caller has waited for 0.2 s when its flow is offered and refused: its patience
+    # ends 0.25 s after its first packet, not after the refusal.
+    balancer = make_balancer([make_status()])
+    late = replace(open_segment(make_key(40_001)), waited=0.2)
+    assert len(balancer.take(late, 10.0)) == 1
+    assert send_back(balancer, 40_001, 4, 10.01) == []
+    assert len(balancer.sweep(10.06)) == 1
