Let a fleet that restarts ask and probe for dead flows with one message

Cause: after the power loss of a grown fleet each flow that had ended cost six messages an agent (question, maybe, probe, to the target and back, answer): a storm of some 400 messages a flow while all start. A balancer younger than 5 s that misses nobody lets agents probe at once; an agent that knows the flow answers without its target, one whose target answered the probe says so, and the packet reaches the holder once.

Ruled out: probing at once at any age; for a living flow each young agent would send a stray though the holder is known.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -280,6 +280,10 @@
         It is not counted as a request: after a power loss each of a hundred flows was
         probed at each target, and all looked full.
         """
+        question = Ask(segment.key, segment.acknowledgement)
+        answer = self._find_answer(question, now)
+        if answer in (Answer.HELD, Answer.NOT_HELD):
+            return Send(origin, Told(segment.key, answer))
         deliver = Deliver(message.tag, message.packet)
         action = self._take(origin, deliver, segment, now)
         if isinstance(action, Send):
@@ -295,7 +299,7 @@
         if segment.key not in self._probed or segment.returned or segment.resets:
             return None
         _, origin = self._probed.pop(segment.key)
-        return Send(origin, Told(segment.key, Answer.HELD))
+        return Send(origin, Told(segment.key, Answer.KEPT))
 
     def tell(self, message: Ask, now: float) -> Told:
         """Answer whether the target holds a flow."""
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -54,6 +54,10 @@
 # starts the next search anyway.
 SEARCH_SECONDS = 1.0
 MAX_SEARCHES = 20_000
+# How long after its start a balancer lets agents probe without asking first. Unit:
+# seconds. Source: callers send on the flows that ended with a fleet's power within
+# their timeouts, 0.5-8 s; most do in the first half.
+YOUNG_SECONDS = 5.0
 
 Action = Send | Reset
 
@@ -133,6 +137,7 @@
         self._observe = observe
         self._tell_event = tell
         self._sweep_at = 0.0
+        self._young_until = now + YOUNG_SECONDS
 
     # What the node learns.
 
@@ -530,8 +535,7 @@
         if holder:
             return self._settle(key, search, holder, now)
         if asked := search.ask(now):
-            question = Ask(key, search.last.acknowledgement)
-            return self._spread(asked, question, now)
+            return self._ask(search, asked, now)
         is_learning = self.is_learning(now)
         waits = is_learning or search.waits(self.targets, now)
         if not waits and (probed := search.start_probe(now, PROBE_SECONDS)):
@@ -553,6 +557,23 @@
         self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
 
+    def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
+        """Ask agents, or let them probe at once.
+
+        A balancer that starts with the whole fleet meets hundreds of flows that no
+        agent knows: each would answer maybe and be told to probe, which is two
+        messages more an agent and flow. As before a later probe, none may be silent.
+        """
+        is_fresh = search.rounds == 1 and now < self._young_until
+        if is_fresh and not self.is_learning(now) and not self._misses_any(now):
+            search.is_asked_by_probe = True
+            return self._probe(search, search.group(asked), now)
+        question = Ask(search.key, search.last.acknowledgement)
+        return self._spread(asked, question, now)
+
+    def _misses_any(self, now: float) -> bool:
+        return any(target.is_silent(now) for target in self.targets.values())
+
     def _probe(
         self, search: Search, probed: dict[int, tuple[str, ...]], now: float
     ) -> list[Action]:
@@ -591,8 +612,7 @@
         self._tell_event("flow_found", flow=key.hex(), peer=holder)
         self._remember(search.last, target, False, NO_OFFERS, now)
         service = target.status.service
-        # A target that was probed has the first packet already.
-        left = search.held[1:] if search.probes else search.held
+        left = search.list_left(holder)
         return [self._deliver(holder, service, held) for held in left]
 
     # What is forgotten.
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -25,13 +25,15 @@
     """Tell whether a target holds a flow.
 
     MAYBE: its agent started after it. UNHEARD: its agent has not even heard it since;
-    there may be no target at all.
+    there may be no target at all. KEPT: held, and the target has the packet that it was
+    probed with.
     """
 
     HELD = 0
     NOT_HELD = 1
     MAYBE = 2
     UNHEARD = 3
+    KEPT = 4
 
 
 class Reason(IntEnum):
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -1,6 +1,6 @@
 """Find the target that holds a flow by asking the agents."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from .messages import Answer, TargetState
@@ -36,7 +36,9 @@
     asked_at: float = float("-inf")
     agents_at: float = float("-inf")
     pause: float = FIRST_PAUSE_SECONDS
+    rounds: int = 0
     probes: int = 0
+    is_asked_by_probe: bool = False
     probed_at: float = float("-inf")
 
     def keep(self, segment: Segment) -> None:
@@ -58,7 +60,7 @@
         their callers waited in vain.
         """
         for address, answer in self.answers.items():
-            if answer == Answer.HELD:
+            if answer in (Answer.HELD, Answer.KEPT):
                 return address
         if not self.probes or now < self.probed_at + patience:
             return None
@@ -81,15 +83,19 @@
         """
         if self.probes >= MAX_PROBES or now < self.probed_at + patience:
             return {}
-        found: dict[int, tuple[str, ...]] = {}
-        for address in self._list_maybe():
-            tag = self.tags[address]
-            found[tag] = (*found.get(tag, ()), address)
+        found = self.group(self._list_maybe())
         if found:
             self.probes += 1
             self.probed_at = now
         return found
 
+    def list_left(self, holder: str) -> list[Segment]:
+        """Return the packets that the holder has not got by a probe."""
+        was_probed = bool(self.probes) or self.is_asked_by_probe
+        if not was_probed or self.answers.get(holder) == Answer.HELD:
+            return self.held
+        return self.held[1:]
+
     def _list_maybe(self) -> list[str]:
         return [
             address
@@ -105,8 +111,22 @@
         if self.asked_at > float("-inf"):
             self.pause *= 2
         self.asked_at = now
+        self.rounds += 1
         return missing
 
+    @property
+    def key(self) -> bytes:
+        """Return the key of the flow."""
+        return self.last.key
+
+    def group(self, addresses: Iterable[str]) -> dict[int, tuple[str, ...]]:
+        """Return agents by their service tag."""
+        found: dict[int, tuple[str, ...]] = {}
+        for address in addresses:
+            tag = self.tags[address]
+            found[tag] = (*found.get(tag, ()), address)
+        return found
+
     def waits(self, targets: Mapping[str, Target], now: float) -> bool:
         """Tell whether a silent agent may still hold the flow.
 
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -687,3 +687,73 @@
     world.send(SECOND, data_segment(make_key(), number))
     assert len(world.targets[address].taken) == 1
     assert world.balancers[SECOND].flows[make_key()].address == address
+
+
+def test_a_fleet_that_restarts_asks_and_probes_for_a_dead_flow_at_once():
+    # All power was lost; a balancer that has just started knows that every agent is
+    # there. A caller goes on with a flow that ended: one message leaves the balancer,
+    # every target sends the packet back, and the caller is told.
+    world = World(targets=20)
+    _, number = world.open(FIRST)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.targets[found].flows.clear()
+        world.beat(found, number=9, name="i-again" + found)
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
+    fresh.finish_list(frozenset(world.agents))
+    world.sent.clear()
+    world.send(SECOND, data_segment(make_key(), number))
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
+    assert len(world.sent) == 1
+
+
+def test_no_flow_is_probed_while_an_agent_is_silent():
+    # The agent of an open flow restarts late. Strays at all other targets and none at
+    # its own would look like a flow that is sent astray.
+    world = World(targets=3)
+    address, number = world.open(FIRST)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.beat(found, number=9, name="i-again" + found)
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
+    fresh.finish_list(frozenset(world.agents))
+    world.silent = {address}
+    world.wait(1.35)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert not any(target.strays for target in world.targets.values())
+    world.silent.clear()
+    world.wait(0.6)
+    assert world.targets[address].taken
+    assert not world.resets
+
+
+def test_an_agent_that_knows_a_flow_answers_a_probe_without_its_target():
+    # The flow began after the agents' restart: its own says yes, and no copy is sent
+    # through the target to learn it.
+    world = World(targets=3)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.beat(found, number=9, name="i-again" + found)
+    address, number = world.open(FIRST)
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
+    fresh.finish_list(frozenset(world.agents))
+    world.send(SECOND, data_segment(make_key(), number))
+    assert len(world.targets[address].taken) == 1
+    assert not world.resets
+
+
+def test_a_target_that_keeps_the_first_probe_gets_its_packet_once():
+    # All agents restarted beside living targets, and the balancer too. The target
+    # answers the packet that it was probed with; it must not get a copy of it.
+    world = World(targets=4)
+    address, number = world.open(FIRST)
+    for found in world.agents:
+        world.agents[found] = world.make_agent()
+        world.beat(found, number=9, name="i-again" + found)
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
+    fresh.finish_list(frozenset(world.agents))
+    world.targets[address].answers = True
+    world.send(SECOND, data_segment(make_key(), number))
+    world.send(SECOND, data_segment(make_key(), number, 1017))
+    assert [found.sequence for found in world.targets[address].taken] == [1001, 1017]
+    assert not world.resets
