--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -88,9 +88,7 @@
     for port in range(40_001, 40_021):
         flows[port] = world.open(FIRST, make_key(port))
     world.now += 1.0
-    for address in world.agents:
-        world.agents[address] = world.make_agent()
-        world.beat(address, number=9, name="i-again" + address)
+    world.restart_agents()
     world.tell_all()
     for port, (address, number) in flows.items():
         before = len(world.targets[address].taken)
@@ -332,6 +330,12 @@
     return fresh
 
 
+def restart_balancer(world):
+    """Start the second balancer anew; it has heard all agents that control named."""
+    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
+    fresh.finish_list(frozenset(world.agents))
+
+
 def test_a_new_flow_waits_while_a_fresh_balancer_knows_only_a_leaving_target():
     # Control and a balancer have just started, and control has named one agent so far.
     # Its target starts to leave. A caller's new flow was reset, though another target
@@ -505,10 +509,7 @@
     # told without a wait for one target after the other.
     world = World(targets=8)
     _, number = world.open(FIRST)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.targets[found].flows.clear()
-        world.beat(found, number=9, name="i-again" + found)
+    world.restart_agents(lose_flows=True)
     world.tell_all()
     world.send(SECOND, data_segment(make_key(), number))
     assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
@@ -598,10 +599,7 @@
     # one, eighty targets would take eighty copies of each packet; agents spread them.
     world = World(targets=40)
     _, number = world.open(FIRST)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.targets[found].flows.clear()
-        world.beat(found, number=9, name="i-again" + found)
+    world.restart_agents(lose_flows=True)
     world.tell_all()
     world.sent.clear()
     world.send(SECOND, data_segment(make_key(), number))
@@ -695,12 +693,8 @@
     # every target sends the packet back, and the caller is told.
     world = World(targets=20)
     _, number = world.open(FIRST)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.targets[found].flows.clear()
-        world.beat(found, number=9, name="i-again" + found)
-    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
-    fresh.finish_list(frozenset(world.agents))
+    world.restart_agents(lose_flows=True)
+    restart_balancer(world)
     world.sent.clear()
     world.send(SECOND, data_segment(make_key(), number))
     assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
@@ -712,11 +706,8 @@
     # its own would look like a flow that is sent astray.
     world = World(targets=3)
     address, number = world.open(FIRST)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.beat(found, number=9, name="i-again" + found)
-    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
-    fresh.finish_list(frozenset(world.agents))
+    world.restart_agents()
+    restart_balancer(world)
     world.silent = {address}
     world.wait(1.35)
     world.send(SECOND, data_segment(make_key(), number))
@@ -731,12 +722,9 @@
     # The flow began after the agents' restart: its own says yes, and no copy is sent
     # through the target to learn it.
     world = World(targets=3)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.beat(found, number=9, name="i-again" + found)
+    world.restart_agents()
     address, number = world.open(FIRST)
-    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
-    fresh.finish_list(frozenset(world.agents))
+    restart_balancer(world)
     world.send(SECOND, data_segment(make_key(), number))
     assert len(world.targets[address].taken) == 1
     assert not world.resets
@@ -747,11 +735,8 @@
     # answers the packet that it was probed with; it must not get a copy of it.
     world = World(targets=4)
     address, number = world.open(FIRST)
-    for found in world.agents:
-        world.agents[found] = world.make_agent()
-        world.beat(found, number=9, name="i-again" + found)
-    world.balancers[SECOND] = fresh = make_fresh_balancer(world, world.agents)
-    fresh.finish_list(frozenset(world.agents))
+    world.restart_agents()
+    restart_balancer(world)
     world.targets[address].answers = True
     world.send(SECOND, data_segment(make_key(), number))
     world.send(SECOND, data_segment(make_key(), number, 1017))
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -123,6 +123,14 @@
         """Return an agent that has not heard its target."""
         return Agent(service, int(self.now * 1000), HEARTBEAT, self.now)
 
+    def restart_agents(self, lose_flows=False):
+        """Start all agents anew, beside targets that run on or lost power as well."""
+        for address in self.agents:
+            self.agents[address] = self.make_agent()
+            if lose_flows:
+                self.targets[address].flows.clear()
+            self.beat(address, number=9, name="i-again" + address)
+
     def beat(self, address, number, name=None, draining=False, slots=1):
         """Let a target speak to its agent."""
         agent = self.agents[address]
