Read the time of day once; let the steady clock carry it on

Leases, warm-ups and request deadlines of the product's own programs followed the time of day, which jumps. A step of it no longer moves them. What stays: a host whose time of day is wrong at its start is wrong until it starts again.

--- a/ibisshunt/components/agent/packets.py
+++ b/ibisshunt/components/agent/packets.py
@@ -11,6 +11,7 @@
 from ...coordination.flows.owner import FlowOwner
 from ...coordination.flows.table import ServiceTable
 from ...core import Kernel
+from ...helpers.clock import read_shared_clock
 from ...helpers.datagrams import DatagramSocket, Pair
 from ...helpers.logging import log_event
 from ...helpers.refusals import RefusalCounter
@@ -200,7 +201,7 @@
         table, slice_ = state.table, self._slice
         if slice_ is None:
             return
-        wall_now = time.time()
+        wall_now = read_shared_clock()
         current = table is not None and table.slice == slice_
         if current and incarnation == state.incarnation and not table.is_old(wall_now):
             return
--- a/ibisshunt/components/balancer/packets.py
+++ b/ibisshunt/components/balancer/packets.py
@@ -9,6 +9,7 @@
 
 from ...coordination.flows.router import NO_TARGET, Router
 from ...core import Kernel
+from ...helpers.clock import read_shared_clock
 from ...helpers.datagrams import DatagramSocket, Pair
 from ...helpers.refusals import RefusalCounter
 from ...model.configuration import Configuration
@@ -31,7 +32,7 @@
         self._send = self._socket.send_to
         self._replies = settings.replies.as_pair() if settings.replies else None
         self._wanted_revision = 0
-        self._now = time.time()
+        self._now = read_shared_clock()
         self._forwarded = 0
         self._flushed = 0
 
@@ -82,14 +83,14 @@
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Hand over a configuration; it is in force when this returns."""
-        self._now = time.time()
+        self._now = read_shared_clock()
         self._router.update(configuration, self._now)
 
     def keep_house(self) -> None:
         """Refresh ramps, report counts and pull what is missing, until killed."""
         while True:
             gevent.sleep(HOUSEKEEPING_SECONDS)
-            self._now = time.time()
+            self._now = read_shared_clock()
             self._router.refresh(self._now)
             self._refusals.flush(self._metrics, time.monotonic())
             amount = self._forwarded - self._flushed
--- a/ibisshunt/components/balancer/streams.py
+++ b/ibisshunt/components/balancer/streams.py
@@ -1,6 +1,5 @@
 """Relay TCP streams that callers open at a service's address."""
 
-import time
 from collections import Counter
 from collections.abc import Iterable
 from functools import lru_cache
@@ -15,6 +14,7 @@
 from ...coordination.flows.ranking import find_bucket
 from ...coordination.flows.table import ServiceTable
 from ...core import Kernel
+from ...helpers.clock import read_shared_clock
 from ...helpers.logging import log_event, warn_event
 from ...helpers.metrics import Metrics, Sample, SampleKind
 from ...helpers.relay import relay_streams, reset_connection
@@ -139,7 +139,7 @@
     def _rank_targets(self, part: ServiceSlice, caller: Address) -> list[Target]:
         """Return the targets that take new work, best first for this caller."""
         table = self._tables.get(part.number)
-        now = time.time()
+        now = read_shared_clock()
         if table is None or table.slice != part or table.is_old(now):
             table = self._tables[part.number] = ServiceTable(part, now)
         chain = table.find_chain(find_bucket(str(caller).encode()))
--- a/ibisshunt/components/control/leases.py
+++ b/ibisshunt/components/control/leases.py
@@ -14,6 +14,7 @@
     encode_command,
 )
 from ...coordination.records.targets import find_session
+from ...helpers.clock import read_shared_clock
 from ...helpers.logging import log_event, warn_event
 from ...model.target import Target, TargetState
 from ...protocol.messages import AnnounceReply, AnnounceRequest
@@ -47,7 +48,9 @@
         hold = self.book.find_hold(request.announcement, known, now)
         if hold and not request.leaving:
             return self._hold_back(request, known, hold, now)
-        command = AnnounceTarget(request.announcement, request.leaving, time.time())
+        command = AnnounceTarget(
+            request.announcement, request.leaving, read_shared_clock()
+        )
         outcome = self._host.state.store.precheck_announcement(command)
         if outcome is None:
             outcome = self._host.propose(command, TargetOutcome, context)
--- a/ibisshunt/components/control/records.py
+++ b/ibisshunt/components/control/records.py
@@ -1,6 +1,5 @@
 """Answer operators who write and read records."""
 
-import time
 from typing import Any, Final
 
 import grpc
@@ -14,6 +13,7 @@
 from ...coordination.records.documents import parse_document
 from ...coordination.records.draft import StoredRecord
 from ...exceptions import Fault
+from ...helpers.clock import read_shared_clock
 from ...protocol.messages import (
     ApplyReply,
     ApplyRequest,
@@ -77,7 +77,7 @@
             operation=request.operation,
             token_hash=hash_token(request.token),
             admin=self._host.is_admin(request.token),
-            now=time.time(),
+            now=read_shared_clock(),
             changes=tuple(result.unwrap() for result in parsed),
         )
         store = self._host.state.store
--- a/ibisshunt/components/requests/dispatcher.py
+++ b/ibisshunt/components/requests/dispatcher.py
@@ -1,6 +1,5 @@
 """Queue requests for the own target and share them with the other agents."""
 
-import time
 from collections.abc import Callable, Iterator
 from contextlib import closing
 from dataclasses import replace
@@ -17,6 +16,7 @@
 from ...coordination.requests.sharing import Load, Sharing, measure_load
 from ...coordination.requests.weighting import Observations, find_share
 from ...exceptions import RpcError
+from ...helpers.clock import read_shared_clock
 from ...helpers.logging import warn_event
 from ...model.record import RequestPolicy
 from ...protocol.requests import Envelope, HandRequest, Outcome, Part, PartKind, Request
@@ -223,7 +223,7 @@
         started = self._clock()
         seconds: float | None = None
         failed, is_feed = True, False
-        wall = time.time() + job.deadline - started
+        wall = read_shared_clock() + job.deadline - started
         with closing(self._client.run(job.request, wall)) as parts:
             try:
                 while part := self._take(parts, job.deadline, is_feed, "in target"):
@@ -328,7 +328,7 @@
         return len(self._jobs) + self._handing
 
     def _find_share(self) -> float:
-        return find_share(self.warm_deadline, WARM_UP_SECONDS, time.time())
+        return find_share(self.warm_deadline, WARM_UP_SECONDS, read_shared_clock())
 
     def dump(self) -> dict[str, Any]:
         """Return the state for the dump."""
--- a/ibisshunt/components/requests/front.py
+++ b/ibisshunt/components/requests/front.py
@@ -3,7 +3,6 @@
 import contextlib
 import hashlib
 import math
-import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
@@ -13,6 +12,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from returns.result import Failure, Result, Success
 
+from ...helpers.clock import read_shared_clock
 from ...helpers.relay import reset_connection
 from ...model.address import Address
 from ...model.record import RequestPolicy
@@ -223,7 +223,7 @@
     """
     seconds = longest
     if (wall := _read_number(environ, "HTTP_IBISSHUNT_DEADLINE")) is not None:
-        seconds = min(seconds, wall - time.time())
+        seconds = min(seconds, wall - read_shared_clock())
     if (timeout := _read_number(environ, "HTTP_REQUEST_TIMEOUT")) is not None:
         seconds = min(seconds, timeout)
     return arrived + seconds
