--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -20,6 +20,7 @@
 from .requests import UNANSWERED_SECONDS, RequestLog
 from .routes import RouteTable, make_tag
 from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
+from .waiting import WaitingLine
 
 # Flows older than this may be discarded, so an agent that has run for as long has
 # seen each flow of its target. Unit: seconds. Source: the platform's bound on the age
@@ -32,9 +33,6 @@
 # seconds. Source: the handshake and the request take two round trips to the caller, of
 # 2-9 ms each; callers that have given up send none.
 OPENING_SECONDS = 0.03
-# How long a balancer whose flow was sent back is told of the next free slot. Unit:
-# seconds. Source: as long as it may keep the flow.
-WAITING_SECONDS = 1.0
 # How long a probe may take to bounce. Unit: seconds. Source: many times what a target
 # takes to send a packet back.
 PROBED_SECONDS = 1.0
@@ -105,8 +103,7 @@
         self._former: set[str] = set()
         self._opening: dict[bytes, float] = {}
         self._probed: dict[bytes, tuple[float, str]] = {}
-        self._waiting: dict[str, float] = {}
-        self._promised: dict[str, float] = {}
+        self._line = WaitingLine()
         self._warm_at = now
         self._paused = False
         self._knows_all_at = now + max_flow_seconds
@@ -332,26 +329,11 @@
         return self.requests.active + len(self._opening)
 
     def take_waiting(self, now: float) -> str | None:
-        """Return the balancer to tell of a free slot, None when no one waits for it.
-
-        A status goes to all and comes too late: the slot would stay empty for as long
-        as ten requests take, while flows wait at the balancers.
-        """
+        """Return the balancer to tell of a free slot, None when no one waits for it."""
         if self.state != TargetState.OPEN or self._paused:
             return None
-        for balancer, at in tuple(self._promised.items()):
-            if now - at >= OPENING_SECONDS:
-                del self._promised[balancer]
-        # A balancer that was told is about to send a flow: telling others of the same
-        # slot would only have theirs sent back.
-        if self.count_load(now) + len(self._promised) > self.requests.slots:
-            return None
-        while self._waiting:
-            balancer = next(iter(self._waiting))
-            if now - self._waiting.pop(balancer) < WAITING_SECONDS:
-                self._promised[balancer] = now
-                return balancer
-        return None
+        room = self.requests.slots - self.count_load(now)
+        return self._line.take(room, now)
 
     def _take_opening(
         self, origin: str, segment: Segment, limit: int, now: float
@@ -361,10 +343,10 @@
         # Balancers that all heard of a free slot send their flows together, before
         # the first shows in a status: what exceeds their limit goes back, and one of
         # them finds a better target.
-        self._promised.pop(origin, None)
+        self._line.note_offer(origin)
         load = self.count_load(now)
         if segment.key not in self._opening and load > limit:
-            self._waiting[origin] = now
+            self._line.join(origin, now)
             return self._return(origin, Reason.FULL, segment, load)
         self._opening[segment.key] = now
         flow = self.flows.get(segment.key)
--- a/tests/coordination/forwarding/test_agent.py
+++ b/tests/coordination/forwarding/test_agent.py
@@ -2,7 +2,6 @@
 
 from dataclasses import replace
 
-from ibisshunt.coordination.forwarding.agent import WAITING_SECONDS
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
@@ -12,6 +11,7 @@
 )
 from ibisshunt.coordination.forwarding.routes import make_tag
 from ibisshunt.coordination.forwarding.segment import Segment
+from ibisshunt.coordination.forwarding.waiting import WAITING_SECONDS
 from tests.forwarding_world import (
     SERVICE,
     World,
