--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -370,6 +370,7 @@
             candidates=len(self.known.list_of(service)),
         )
         self._remember(segment, target, True, offers, now)
+        self.openings.drop(segment.key)
         message = Deliver(make_tag(service), segment.raw, limit)
         return [Send(target.address, message)]
 
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -335,3 +335,13 @@
     assert len(balancer.take(late, 10.0)) == 1
     assert send_back(balancer, 40_001, 4, 10.01) == []
     assert len(balancer.sweep(10.06)) == 1
+
+
+def test_a_flow_placed_by_its_own_copy_is_not_sent_again():
+    # An opening packet waits. Its second copy comes when a slot is free and is placed;
+    # the one that waited must not open the flow once more.
+    balancer = make_balancer([make_status(active=9)])
+    assert place(balancer, 40_001, 10.0) == []
+    balancer.learn("10.0.2.0", make_status(number=2), 10.2)
+    assert place(balancer, 40_001, 10.2) == ["10.0.2.0"]
+    assert balancer.sweep(10.22) == []
