--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -12,12 +12,9 @@
 )
 from .messages import (
     Answer,
-    Ask,
     Deliver,
     Known,
-    Probe,
     Reason,
-    Relay,
     Reset,
     Returned,
     Seek,
@@ -26,7 +23,7 @@
 )
 from .placement import Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
-from .search import Search, start_search
+from .searching import Counters, Searches, deliver
 from .segment import Segment
 from .targets import KnownTargets
 
@@ -38,26 +35,11 @@
 # each costs the caller a round trip of some milliseconds; more than this are only
 # full together, when a refusal serves the caller better than another try.
 MAX_OFFERS = 6
-# How long the balancers of the same failure domain have to answer before agents are
-# asked. Unit: seconds. Source: round trips inside a domain take well under one
-# millisecond; a thin host answers within some.
-PEER_SECONDS = 0.012
 # How long packets of a flow must have gone to a target without coming back before the
 # target is known to hold it. Unit: seconds. Source: many round trips.
 CONFIRMED_SECONDS = 0.2
 # Flows in one message between balancers. Source: what fits a packet of usual size.
 FLOWS_PER_MESSAGE = 40
-# How long a probed target has to send a packet back that it does not hold. Unit:
-# seconds. Source: some round trips, on a link that others use too.
-PROBE_SECONDS = 0.03
-# How long silent agents are waited for. Unit: seconds. Source: a caller's packet
-# starts the next search anyway.
-SEARCH_SECONDS = 1.0
-MAX_SEARCHES = 20_000
-# How long after its start a balancer lets agents probe without asking first. Unit:
-# seconds. Source: callers send on the flows that ended with a fleet's power within
-# their timeouts, 0.5-8 s; most do in the first half.
-YOUNG_SECONDS = 5.0
 
 Action = Send | Reset
 
@@ -101,19 +83,6 @@
         return now - self.along_at >= CONFIRMED_SECONDS
 
 
-@dataclass(slots=True)
-class Counters:
-    """Count what happened since the start."""
-
-    placed: int = 0
-    refused: int = 0
-    searched: int = 0
-    found: int = 0
-    reset: int = 0
-    unroutable: int = 0
-    returned: int = 0
-
-
 class Balancer:
     """Own the flows and targets that one balancer knows."""
 
@@ -131,13 +100,14 @@
         # Balancers of the same failure domain, which routers fall back on.
         self.peers: tuple[str, ...] = ()
         self.flows: dict[bytes, Flow] = {}
-        self.searches: dict[bytes, Search] = {}
         self.counters = Counters()
+        self.searches = Searches(
+            self.known, self.counters, draw, tell, self._note_found, now
+        )
         self._draw = draw
         self._observe = observe
         self._tell_event = tell
         self._sweep_at = 0.0
-        self._young_until = now + YOUNG_SECONDS
 
     # What the node learns.
 
@@ -163,15 +133,13 @@
     def learn(self, address: str, status: Status, now: float) -> bool:
         """Take an agent's word; return whether its target is new or changed state."""
         if address not in self.targets:
-            for search in self.searches.values():
-                search.add(address, status.service)
+            self.searches.add(address, status.service)
         return self.known.learn(address, status, now)
 
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
         actions = self.open_again(now)
-        for key, search in tuple(self.searches.items()):
-            actions += self._go_on(key, search, now)
+        actions += self.searches.go_on_all(now)
         if now >= self._sweep_at:
             self._sweep_at = now + 1.0
             self._forget(now)
@@ -211,12 +179,11 @@
             if message.reason == Reason.FULL and address in self.targets:
                 self.targets[address].correct(message.load, now)
             return self._offer_again(address, message.reason, segment, flow, now)
-        search = self.searches.get(segment.key)
-        if flow is not None and flow.address == address and search is None:
+        is_searched = self.searches.is_open(segment.key)
+        if flow is not None and flow.address == address and not is_searched:
             return self._leave(segment, flow, now)
-        if search is not None:
-            search.answers[address] = Answer.NOT_HELD
-            return self._go_on(segment.key, search, now)
+        if is_searched:
+            return self.searches.answer(address, segment.key, Answer.NOT_HELD, now)
         return self._search(segment, frozenset((address,)), now)
 
     def open_again(self, now: float) -> list[Action]:
@@ -253,12 +220,7 @@
         self, address: str, key: bytes, answer: int, now: float
     ) -> list[Action]:
         """Take an agent's answer about a flow."""
-        search = self.searches.get(key)
-        if search is None:
-            return []
-        if search.answers.get(address) != Answer.NOT_HELD:
-            search.answers[address] = answer
-        return self._go_on(key, search, now)
+        return self.searches.answer(address, key, answer, now)
 
     # How a flow opens.
 
@@ -273,7 +235,7 @@
             target = self.targets.get(flow.address)
             if target is not None and target.is_candidate(now):
                 flow.seen_at = now
-                return [self._deliver(flow.address, flow.service, segment)]
+                return [deliver(flow.address, flow.service, segment)]
         service = choose_service(route, segment.key)
         return self._admit(segment, route, service, NO_OFFERS, now)
 
@@ -440,7 +402,7 @@
         target = self.targets.get(flow.address)
         if target is not None and not target.is_lost(now):
             flow.along_at = min(flow.along_at, now)
-            return [self._deliver(flow.address, flow.service, segment)]
+            return [deliver(flow.address, flow.service, segment)]
         return self._leave(segment, flow, now)
 
     def _leave(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
@@ -459,28 +421,12 @@
         )
         return [Reset(segment, "target_gone")]
 
-    def _deliver(self, address: str, service: str, segment: Segment) -> Send:
-        return Send(address, Deliver(make_tag(service), segment.raw))
-
     def _search(
         self, segment: Segment, excluded: frozenset[str], now: float
     ) -> list[Action]:
-        """Ask the agents who holds a flow that this balancer does not know."""
-        if segment.resets:
-            return []
-        search = self.searches.get(segment.key)
-        if search is not None:
-            search.keep(segment)
-            return []
-        if len(self.searches) >= MAX_SEARCHES:
-            return []
-        self.counters.searched += 1
-        search = start_search(segment, self._list_holders(segment.key), excluded, now)
-        self.searches[segment.key] = search
-        if self.peers and not excluded:
-            search.agents_at = now + PEER_SECONDS
-            return [Send(peer, Seek(segment.key)) for peer in self.peers]
-        return self._go_on(segment.key, search, now)
+        """Ask who holds a flow that this balancer does not know."""
+        holders = self._list_holders(segment.key)
+        return self.searches.begin(segment, holders, self.peers, excluded, now)
 
     def tell_known(self, message: Seek, now: float) -> Known | None:
         """Answer another balancer where a flow is, when this one knows."""
@@ -497,13 +443,12 @@
         actions: list[Action] = []
         for key, address in message.flows:
             target = self.targets.get(address)
-            search = self.searches.get(key)
             if target is None:
                 continue
-            if search is None:
+            if self.searches.is_open(key):
+                actions += self.searches.answer(address, key, Answer.HELD, now)
+            else:
                 self._note_flow(key, target, now)
-            elif search.answers.get(address) != Answer.NOT_HELD:
-                actions += self._settle(key, search, address, now)
         return actions
 
     def list_known(self) -> list[Known]:
@@ -516,6 +461,9 @@
             for first in range(0, len(flows), FLOWS_PER_MESSAGE)
         ]
 
+    def _note_found(self, segment: Segment, target: Target, now: float) -> None:
+        self._remember(segment, target, False, NO_OFFERS, now)
+
     def _note_flow(self, key: bytes, target: Target, now: float) -> None:
         if key not in self.flows and len(self.flows) < MAX_FLOWS:
             service = target.status.service
@@ -531,91 +479,6 @@
         targets = list(self.targets.values())
         return sorted(targets, key=lambda found: found.status.service not in likely)
 
-    def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
-        holder = search.find_holder(now, PROBE_SECONDS)
-        if holder:
-            return self._settle(key, search, holder, now)
-        if asked := search.ask(now):
-            return self._ask(search, asked, now)
-        is_learning = self.is_learning(now)
-        waits = is_learning or search.waits(self.targets, now)
-        if not waits and (probed := search.start_probe(now, PROBE_SECONDS)):
-            return self._probe(search, probed, now)
-        if waits or search.has_maybe():
-            if now >= search.started_at + SEARCH_SECONDS:
-                del self.searches[key]
-                silent = search.silent()
-                self._tell_event(
-                    "flow_not_found",
-                    flow=key.hex(),
-                    silent=len(silent),
-                    first=",".join(silent[:3]) or "-",
-                    learning=is_learning,
-                )
-            return []
-        del self.searches[key]
-        self.counters.reset += 1
-        self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
-        return [Reset(search.last, "held_by_nobody")]
-
-    def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
-        """Ask agents, or let them probe at once.
-
-        A balancer that starts with the whole fleet meets hundreds of flows that no
-        agent knows: each would answer maybe and be told to probe, which is two
-        messages more an agent and flow. As before a later probe, none may be silent.
-        """
-        is_fresh = search.rounds == 1 and now < self._young_until
-        if is_fresh and not self.is_learning(now) and not self._misses_any(now):
-            search.is_asked_by_probe = True
-            return self._probe(search, search.group(asked), now)
-        question = Ask(search.key, search.last.acknowledgement)
-        return self._spread(asked, question, now)
-
-    def _misses_any(self, now: float) -> bool:
-        return any(target.is_silent(now) for target in self.targets.values())
-
-    def _probe(
-        self, search: Search, probed: dict[int, tuple[str, ...]], now: float
-    ) -> list[Action]:
-        packet = search.held[0].raw
-        actions: list[Action] = []
-        for tag, addresses in probed.items():
-            actions += self._spread(addresses, Probe(tag, packet), now)
-        return actions
-
-    def _spread(
-        self, to: tuple[str, ...], question: Ask | Probe, now: float
-    ) -> list[Action]:
-        """Send one question to many agents through one of them.
-
-        The questions about a hundred flows to eighty agents, sent from here, kept a
-        link of 2.2 Mbit/s full for good: no new flow got through, callers repeated
-        their packets, and each repeat asked again.
-        """
-        able = [target for target in self.targets.values() if not target.is_silent(now)]
-        if not able:
-            able = list(self.targets.values())
-        if not able:
-            return []
-        relay = able[int(self._draw() * len(able))]
-        return [Send(relay.address, Relay(to, question))]
-
-    def _settle(
-        self, key: bytes, search: Search, holder: str, now: float
-    ) -> list[Action]:
-        target = self.targets.get(holder)
-        if target is None:
-            search.answers[holder] = Answer.NOT_HELD
-            return []
-        del self.searches[key]
-        self.counters.found += 1
-        self._tell_event("flow_found", flow=key.hex(), peer=holder)
-        self._remember(search.last, target, False, NO_OFFERS, now)
-        service = target.status.service
-        left = search.list_left(holder)
-        return [self._deliver(holder, service, held) for held in left]
-
     # What is forgotten.
 
     def _forget(self, now: float) -> None:
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -0,0 +1,213 @@
+"""Look for the flows that a balancer does not know, packet by packet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .messages import Answer, Ask, Deliver, Probe, Relay, Reset, Seek, Send
+from .placement import Target
+from .routes import make_tag
+from .search import Search, start_search
+from .segment import Segment
+from .targets import KnownTargets
+
+# How long the balancers of the same failure domain have to answer before agents are
+# asked. Unit: seconds. Source: round trips inside a domain take well under one
+# millisecond; a thin host answers within some.
+PEER_SECONDS = 0.012
+# How long a probed target has to send a packet back that it does not hold. Unit:
+# seconds. Source: some round trips, on a link that others use too.
+PROBE_SECONDS = 0.03
+# How long silent agents are waited for. Unit: seconds. Source: a caller's packet
+# starts the next search anyway.
+SEARCH_SECONDS = 1.0
+MAX_SEARCHES = 20_000
+# How long after its start a balancer lets agents probe without asking first. Unit:
+# seconds. Source: callers send on the flows that ended with a fleet's power within
+# their timeouts, 0.5-8 s; most do in the first half.
+YOUNG_SECONDS = 5.0
+
+Action = Send | Reset
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what happened since the start."""
+
+    placed: int = 0
+    refused: int = 0
+    searched: int = 0
+    found: int = 0
+    reset: int = 0
+    unroutable: int = 0
+    returned: int = 0
+
+
+def deliver(address: str, service: str, segment: Segment) -> Send:
+    """Return the message that hands a packet of an open flow to its agent."""
+    return Send(address, Deliver(make_tag(service), segment.raw))
+
+
+class Searches:
+    """Own the searches of one balancer; ``note_found`` takes what they find.
+
+    Times are in seconds of the balancer's clock; it starts at ``now``.
+    """
+
+    def __init__(
+        self,
+        known: KnownTargets,
+        counters: Counters,
+        draw: Callable[[], float],
+        tell: Callable[..., None],
+        note_found: Callable[[Segment, Target, float], None],
+        now: float,
+    ) -> None:
+        self._open: dict[bytes, Search] = {}
+        self._known = known
+        self._counters = counters
+        self._draw = draw
+        self._tell_event = tell
+        self._note_found = note_found
+        self._young_until = now + YOUNG_SECONDS
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def is_open(self, key: bytes) -> bool:
+        """Tell whether a flow is looked for."""
+        return key in self._open
+
+    def add(self, address: str, service: str) -> None:
+        """Ask an agent too that was not known when the searches began."""
+        for search in self._open.values():
+            search.add(address, service)
+
+    def begin(
+        self,
+        segment: Segment,
+        holders: list[Target],
+        peers: tuple[str, ...],
+        excluded: frozenset[str],
+        now: float,
+    ) -> list[Action]:
+        """Look for a flow: ask balancers nearby, then the agents of ``holders``."""
+        if segment.resets:
+            return []
+        search = self._open.get(segment.key)
+        if search is not None:
+            search.keep(segment)
+            return []
+        if len(self._open) >= MAX_SEARCHES:
+            return []
+        self._counters.searched += 1
+        search = start_search(segment, holders, excluded, now)
+        self._open[segment.key] = search
+        if peers and not excluded:
+            search.agents_at = now + PEER_SECONDS
+            return [Send(peer, Seek(segment.key)) for peer in peers]
+        return self._go_on(segment.key, search, now)
+
+    def answer(self, address: str, key: bytes, answer: int, now: float) -> list[Action]:
+        """Take the word of who holds a flow, or not; a refusal is final."""
+        search = self._open.get(key)
+        if search is None:
+            return []
+        if search.answers.get(address) != Answer.NOT_HELD:
+            search.answers[address] = answer
+        return self._go_on(key, search, now)
+
+    def go_on_all(self, now: float) -> list[Action]:
+        """Ask again, probe or give up where it is time to."""
+        actions: list[Action] = []
+        for key, search in tuple(self._open.items()):
+            actions += self._go_on(key, search, now)
+        return actions
+
+    def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
+        holder = search.find_holder(now, PROBE_SECONDS)
+        if holder:
+            return self._settle(key, search, holder, now)
+        if asked := search.ask(now):
+            return self._ask(search, asked, now)
+        is_learning = self._known.is_learning(now)
+        waits = is_learning or search.waits(self._known.targets, now)
+        if not waits and (probed := search.start_probe(now, PROBE_SECONDS)):
+            return self._probe(search, probed, now)
+        if waits or search.has_maybe():
+            if now >= search.started_at + SEARCH_SECONDS:
+                del self._open[key]
+                silent = search.silent()
+                self._tell_event(
+                    "flow_not_found",
+                    flow=key.hex(),
+                    silent=len(silent),
+                    first=",".join(silent[:3]) or "-",
+                    learning=is_learning,
+                )
+            return []
+        del self._open[key]
+        self._counters.reset += 1
+        self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
+        return [Reset(search.last, "held_by_nobody")]
+
+    def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
+        """Ask agents, or let them probe at once.
+
+        A balancer that starts with the whole fleet meets hundreds of flows that no
+        agent knows: each would answer maybe and be told to probe, which is two
+        messages more an agent and flow. As before a later probe, none may be silent.
+        """
+        is_fresh = search.rounds == 1 and now < self._young_until
+        if is_fresh and not self._known.is_learning(now) and not self._misses_any(now):
+            search.is_asked_by_probe = True
+            return self._probe(search, search.group(asked), now)
+        question = Ask(search.key, search.last.acknowledgement)
+        return self._spread(asked, question, now)
+
+    def _misses_any(self, now: float) -> bool:
+        return any(target.is_silent(now) for target in self._known.targets.values())
+
+    def _probe(
+        self, search: Search, probed: dict[int, tuple[str, ...]], now: float
+    ) -> list[Action]:
+        packet = search.held[0].raw
+        actions: list[Action] = []
+        for tag, addresses in probed.items():
+            actions += self._spread(addresses, Probe(tag, packet), now)
+        return actions
+
+    def _spread(
+        self, to: tuple[str, ...], question: Ask | Probe, now: float
+    ) -> list[Action]:
+        """Send one question to many agents through one of them.
+
+        The questions about a hundred flows to eighty agents, sent from here, kept a
+        link of 2.2 Mbit/s full for good: no new flow got through, callers repeated
+        their packets, and each repeat asked again.
+        """
+        able = [
+            target
+            for target in self._known.targets.values()
+            if not target.is_silent(now)
+        ]
+        if not able:
+            able = list(self._known.targets.values())
+        if not able:
+            return []
+        relay = able[int(self._draw() * len(able))]
+        return [Send(relay.address, Relay(to, question))]
+
+    def _settle(
+        self, key: bytes, search: Search, holder: str, now: float
+    ) -> list[Action]:
+        target = self._known.targets.get(holder)
+        if target is None:
+            search.answers[holder] = Answer.NOT_HELD
+            return []
+        del self._open[key]
+        self._counters.found += 1
+        self._tell_event("flow_found", flow=key.hex(), peer=holder)
+        self._note_found(search.last, target, now)
+        service = target.status.service
+        left = search.list_left(holder)
+        return [deliver(holder, service, held) for held in left]
