Count a target's resets as failures

The agent forgot the request before it looked whether one was reset, so a target that resets its callers looked sound. The test failed before.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -263,7 +263,6 @@
         flow.target_ended = flow.target_ended or segment.finishes
         if segment.resets:
             flow.ended_at = now
-            self.requests.end(segment.key)
         elif flow.target_ended and flow.caller_ended and not flow.ended_at:
             flow.ended_at = now
         self.requests.note_outward(segment, now)
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -110,8 +110,11 @@
 
     def note_outward(self, segment: Segment, now: float) -> None:
         """Take a packet of the target; an answer's first one ends the wait."""
-        if segment.resets and segment.key in self._active:
-            self._note_outcome(True, now)
+        if segment.resets:
+            if segment.key in self._active:
+                self._note_outcome(True, now)
+            self.end(segment.key)
+            return
         if not segment.data.startswith(RESPONSE_MARK):
             return
         exchange = self._active.pop(segment.key, None)
--- a/tests/coordination/forwarding/test_agent.py
+++ b/tests/coordination/forwarding/test_agent.py
@@ -115,3 +115,16 @@
     assert agent.tell(question, now).answer == Answer.MAYBE
     answer(agent, 1, now)
     assert agent.tell(question, now).answer == Answer.HELD
+
+
+def test_a_target_that_resets_its_callers_is_seen_to_fail():
+    # A target whose health is good resets each flow instead of answering the request.
+    # Its agent must count these, or the idle target draws every new flow.
+    agent, now = make_agent()
+    for port in range(1, 6):
+        ask(agent, port, now)
+        agent.take_outward(
+            Segment(make_key(port), b"", b"", 5, 100, resets=True), now + 0.01
+        )
+    assert agent.report(now + 0.02).failing > 30
+    assert agent.requests.active == 0
