Take out what nobody used: an agent's word that it knows all flows, and a target's loss

The field was sent in each status and read by none; the function was called by one test alone, which now restarts an agent as its comment says.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -174,7 +174,6 @@
             int(self.requests.mean_seconds * 1e6),
             max(0, int(1000 * (self._warm_at - now))),
             self.routes.version,
-            self.knows_all(now),
             round(100 * self.requests.estimate_failing(now)),
         )
 
@@ -202,12 +201,6 @@
         self._tell_event("target_silent", service=self.service, flows=len(self.flows))
         return True
 
-    def lose(self) -> None:
-        """Take the target for dead: its flows are gone."""
-        self.state = TargetState.ABSENT
-        self._tell_event("target_lost", service=self.service, flows=len(self.flows))
-        self._drop_flows()
-
     # What packets ask for.
 
     def take(
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -71,7 +71,6 @@
     service_us: int
     warm_left: int
     version: int
-    knows_all: bool
     failing: int = 0
 
 
--- a/measurements/forwarding.py
+++ b/measurements/forwarding.py
@@ -44,7 +44,6 @@
         41_000,
         0,
         61,
-        True,
     )
 
 
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -449,7 +449,8 @@
     # reset for that: the second is open a moment later.
     world = World(targets=2)
     leaving, late = world.agents
-    world.agents[late].lose()
+    world.now += 1.0
+    world.agents[late] = world.make_agent()
     world.tell_all()
     world.beat(leaving, number=2, draining=True)
     world.send(FIRST, open_segment(make_key()))
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -42,7 +42,6 @@
         service_us,
         cold,
         1,
-        True,
     )
 
 
@@ -187,7 +186,7 @@
 
 @pytest.mark.parametrize("state", [TargetState.DRAINING, TargetState.ABSENT])
 def test_a_target_that_is_not_open_gets_no_flow(state):
-    closed = Status(1, 1, SERVICE, state, 1, 0, 0, 1000, 0, 1, True)
+    closed = Status(1, 1, SERVICE, state, 1, 0, 0, 1000, 0, 1)
     balancer = make_balancer([closed, make_status(active=1)])
     assert place(balancer, 40_001, 10.0) == ["10.0.2.1"]
 
