--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .held import HeldFlow
 from .messages import (
     Answer,
     Ask,
@@ -19,7 +20,7 @@
 )
 from .requests import UNANSWERED_SECONDS, RequestLog
 from .routes import RouteTable, make_tag
-from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
+from .segment import Segment
 from .waiting import WaitingLine
 
 # Flows older than this may be discarded, so an agent that has run for as long has
@@ -43,24 +44,6 @@
 Action = Send | ToTarget | ToCaller
 
 
-@dataclass(slots=True)
-class HeldFlow:
-    """Hold what an agent saw of a flow; times are in seconds.
-
-    ``first`` and ``last`` are the ends of the numbers that the target has sent, None
-    when its opening was not seen; ``is_answered`` tells that the target has sent
-    anything in it, and so holds it.
-    """
-
-    first: int | None
-    seen_at: float
-    last: int = 0
-    is_answered: bool = False
-    caller_ended: bool = False
-    target_ended: bool = False
-    ended_at: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """Hold a target's heartbeat; ``warm_left`` is in milliseconds."""
@@ -229,7 +212,7 @@
                 return self._return(origin, Reason.NOT_HELD, segment)
             # This agent is younger than the flow may be: the target answers.
             flow = self.flows[segment.key] = HeldFlow(None, now)
-        elif _is_foreign(flow, segment):
+        elif flow.is_foreign(segment):
             return self._return(origin, Reason.NOT_HELD, segment)
         flow.seen_at = now
         flow.caller_ended = flow.caller_ended or segment.finishes
@@ -245,19 +228,7 @@
         flow = self.flows.get(segment.key)
         if flow is None:
             flow = self.flows[segment.key] = HeldFlow(None, now)
-        if segment.opens:
-            flow.first = flow.last = segment.sequence
-            flow.ended_at = 0.0
-        flow.seen_at = now
-        flow.is_answered = not segment.resets
-        end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
-        if is_later(end, flow.last):
-            flow.last = end % SEQUENCE_SPACE
-        flow.target_ended = flow.target_ended or segment.finishes
-        if segment.resets:
-            flow.ended_at = now
-        elif flow.target_ended and flow.caller_ended and not flow.ended_at:
-            flow.ended_at = now
+        flow.note_outward(segment, now)
         self.requests.note_outward(segment, now)
         return ToCaller(segment)
 
@@ -299,8 +270,9 @@
             return Answer.NOT_HELD
         flow = self.flows.get(message.key)
         if flow is not None and flow.first is not None:
-            fits = lies_between(flow.first, message.acknowledgement, flow.last)
-            return Answer.HELD if fits else Answer.NOT_HELD
+            return (
+                Answer.HELD if flow.fits(message.acknowledgement) else Answer.NOT_HELD
+            )
         if flow is not None and flow.is_answered:
             return Answer.HELD
         if self.knows_all(now):
@@ -345,10 +317,7 @@
         if flow is None:
             self.flows[segment.key] = HeldFlow(None, now)
         else:
-            # A copy, or the port is used again: until the target answers, its former
-            # numbers tell which packets belong to it.
-            flow.seen_at, flow.ended_at = now, 0.0
-            flow.caller_ended = flow.target_ended = False
+            flow.begin_again(now)
         self.delivered += 1
         return ToTarget(origin, segment)
 
@@ -409,16 +378,3 @@
         for key in over:
             del self.flows[key]
             self.requests.end(key)
-
-
-def _is_foreign(flow: HeldFlow, segment: Segment) -> bool:
-    """Tell whether the caller took the opening of another target.
-
-    Two targets answered copies of one opening packet; the caller's acknowledgement
-    names the one that it took.
-    """
-    return (
-        flow.first is not None
-        and segment.acknowledges
-        and not lies_between(flow.first, segment.acknowledgement, flow.last)
-    )
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/held.py
@@ -0,0 +1,62 @@
+"""Hold what an agent sees of one flow of its target."""
+
+from dataclasses import dataclass
+
+from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
+
+
+@dataclass(slots=True)
+class HeldFlow:
+    """Hold what an agent saw of a flow; times are in seconds.
+
+    ``first`` and ``last`` are the ends of the numbers that the target has sent, None
+    when its opening was not seen; ``is_answered`` tells that the target has sent
+    anything in it, and so holds it.
+    """
+
+    first: int | None
+    seen_at: float
+    last: int = 0
+    is_answered: bool = False
+    caller_ended: bool = False
+    target_ended: bool = False
+    ended_at: float = 0.0
+
+    def begin_again(self, now: float) -> None:
+        """Take another opening packet of the caller, a copy or one on a used port.
+
+        Until the target answers, its former numbers tell which packets belong to it.
+        """
+        self.seen_at, self.ended_at = now, 0.0
+        self.caller_ended = self.target_ended = False
+
+    def note_outward(self, segment: Segment, now: float) -> None:
+        """Take a packet that the target sent."""
+        if segment.opens:
+            self.first = self.last = segment.sequence
+            self.ended_at = 0.0
+        self.seen_at = now
+        self.is_answered = not segment.resets
+        end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
+        if is_later(end, self.last):
+            self.last = end % SEQUENCE_SPACE
+        self.target_ended = self.target_ended or segment.finishes
+        both_ended = self.target_ended and self.caller_ended
+        if segment.resets or (both_ended and not self.ended_at):
+            self.ended_at = now
+
+    def fits(self, acknowledgement: int) -> bool:
+        """Tell whether a caller's acknowledgement is of what the target has sent."""
+        if self.first is None:
+            return False
+        return lies_between(self.first, acknowledgement, self.last)
+
+    def is_foreign(self, segment: Segment) -> bool:
+        """Tell whether the caller took the opening of another target.
+
+        Two targets answered copies of one opening packet; the caller's acknowledgement
+        names the one that it took.
+        """
+        if self.first is None or not segment.acknowledges:
+            return False
+        return not self.fits(segment.acknowledgement)
