--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -455,7 +455,7 @@
     world.beat(leaving, number=2, draining=True)
     world.send(FIRST, open_segment(make_key()))
     assert not world.resets
-    world.beat(late, number=3)
+    world.beat(late, number=3, name="i-late")
     world.wait(0.5)
     assert [address for address, _ in world.to_callers] == [late]
 
