--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,6 +11,20 @@
 NOWHERE = Address("127.0.0.1", 9)
 
 
+# Records as an operator writes them, in the first schema.
+BUSINESS_DOCUMENT = {"kind": "business", "schema": 1, "name": "marea"}
+SERVICE_DOCUMENT = {
+    "kind": "service",
+    "schema": 1,
+    "business": "marea",
+    "name": "booking",
+    "address": "127.1.0.1",
+    "port": 8080,
+    "protocol": "tcp",
+    "callers": ["127.0.0.0/8"],
+}
+
+
 def make_service(number=1, name="booking", **changes):
     fields = {
         "business": "marea",
--- a/tests/cli/test_records.py
+++ b/tests/cli/test_records.py
@@ -11,18 +11,7 @@
 from ibisshunt.protocol.messages import REPORT, ReportRequest
 from ibisshunt.protocol.rpc import Channel
 from ibisshunt.settings import ControlSettings
-
-BUSINESS = {"kind": "business", "schema": 1, "name": "marea"}
-SERVICE = {
-    "kind": "service",
-    "schema": 1,
-    "business": "marea",
-    "name": "booking",
-    "address": "127.1.0.1",
-    "port": 8080,
-    "protocol": "tcp",
-    "callers": ["127.0.0.0/8"],
-}
+from tests.builders import BUSINESS_DOCUMENT, SERVICE_DOCUMENT
 
 
 class Operator:
@@ -64,19 +53,19 @@
 def test_apply_waits_and_names_the_node_that_lags(operator):
     # Hazard 18. A change was accepted, and one balancer does not put it in force.
     # The operator must learn which one, and not that all is well.
-    path = operator.write(BUSINESS, SERVICE)
+    path = operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT)
     operator.report("b1", 1_000)
     assert "in force on 1 nodes" in operator.run("apply", path, "--wait")
     operator.report("b2", 1)
-    path = operator.write({**SERVICE, "slots": 2})
+    path = operator.write({**SERVICE_DOCUMENT, "slots": 2})
     output = operator.run("apply", path, "--wait", "--timeout", "0.3", code=1)
     assert "node b2 lags" in output
     assert "b1" not in output
 
 
 def test_history_and_diff_show_what_changed(operator):
-    operator.run("apply", operator.write(BUSINESS, SERVICE))
-    path = operator.write({**SERVICE, "slots": 2})
+    operator.run("apply", operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT))
+    path = operator.write({**SERVICE_DOCUMENT, "slots": 2})
     shown = operator.run("diff", path)
     assert '+ "slots": 2' in shown
     operator.run("apply", path)
@@ -88,17 +77,17 @@
 
 
 def test_the_same_operation_runs_once(operator):
-    operator.run("apply", operator.write(BUSINESS, SERVICE))
-    path = operator.write({**SERVICE, "slots": 2})
+    operator.run("apply", operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT))
+    path = operator.write({**SERVICE_DOCUMENT, "slots": 2})
     first = operator.run("apply", path, "--operation", "x")
-    operator.run("apply", operator.write({**SERVICE, "slots": 3}))
-    path = operator.write({**SERVICE, "slots": 2})
+    operator.run("apply", operator.write({**SERVICE_DOCUMENT, "slots": 3}))
+    path = operator.write({**SERVICE_DOCUMENT, "slots": 2})
     assert operator.run("apply", path, "--operation", "x") == first
     assert '"slots\\": 3' in operator.run("get", "service", "marea", "booking")
 
 
 def test_a_drain_is_put_and_taken_back(operator):
-    operator.run("apply", operator.write(BUSINESS, SERVICE))
+    operator.run("apply", operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT))
     operator.run("drain", "marea", "booking", "t1")
     assert "drain marea/booking.t1" in operator.run("list", "marea")
     operator.run("drain", "marea", "booking", "t1", "--undo")
@@ -106,6 +95,8 @@
 
 
 def test_a_refused_record_ends_with_an_error(operator):
-    output = operator.run("apply", operator.write({**SERVICE, "port": 0}), code=1)
+    output = operator.run(
+        "apply", operator.write({**SERVICE_DOCUMENT, "port": 0}), code=1
+    )
     assert "key port: found 0, expected an integer 1-65535" in output
     assert "nothing" in operator.run("apply", operator.write({}), code=1)
--- a/tests/components/control/test_server.py
+++ b/tests/components/control/test_server.py
@@ -26,20 +26,10 @@
 from ibisshunt.protocol.records import HISTORY, HistoryRequest
 from ibisshunt.protocol.rpc import Channel
 from ibisshunt.settings import ControlSettings, TlsSettings
+from tests.builders import BUSINESS_DOCUMENT, SERVICE_DOCUMENT
 
-BUSINESS = json.dumps({"kind": "business", "schema": 1, "name": "marea"})
-SERVICE = json.dumps(
-    {
-        "kind": "service",
-        "schema": 1,
-        "business": "marea",
-        "name": "booking",
-        "address": "127.1.0.1",
-        "port": 8080,
-        "protocol": "tcp",
-        "callers": ["127.0.0.0/8"],
-    }
-)
+BUSINESS = json.dumps(BUSINESS_DOCUMENT)
+SERVICE = json.dumps(SERVICE_DOCUMENT)
 LOOPBACK = Address("127.0.0.1", 0)
 ANNOUNCEMENT = Announcement(
     "marea",
--- a/tests/coordination/records/test_documents.py
+++ b/tests/coordination/records/test_documents.py
@@ -5,16 +5,10 @@
 
 from ibisshunt.coordination.records.commands import decode_body
 from ibisshunt.coordination.records.documents import parse_document
+from tests.builders import SERVICE_DOCUMENT
 
 SERVICE_1 = {
-    "kind": "service",
-    "schema": 1,
-    "business": "marea",
-    "name": "booking",
-    "address": "127.1.0.1",
-    "port": 8080,
-    "protocol": "tcp",
-    "callers": ["127.0.0.0/8"],
+    **SERVICE_DOCUMENT,
     "slots": 1,
     "sharing": "hunting",
     "idle_timeout_s": 60,
