Let gRPC connections that fall silent end

Cause: channels of the product's own interface set no keep-alive, so a stream behind a partition that resets nothing waited for its next update for ever. Ruled out: the calls' own timeouts, which end a call and leave a stream.

--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -7,12 +7,18 @@
 import grpc
 import msgspec
 
-from ..const import RPC_TIMEOUT_SECONDS
+from ..const import LEASE_SECONDS, RPC_TIMEOUT_SECONDS
 from ..exceptions import Fault, RpcError
 from ..model.address import Address
 from .codec import encode
 from .method import SERVICE_NAME, Method
 
+# How long a connection may bring nothing before its peer is asked for a sign of life,
+# and how long that may take. Unit: seconds. Source: together below a lease, so that a
+# node whose connection went silent has a new one before its lease ends.
+KEEPALIVE_SECONDS = LEASE_SECONDS / 2
+KEEPALIVE_TIMEOUT_SECONDS = LEASE_SECONDS / 3
+
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
     ("grpc.max_send_message_length", 64 * 1024 * 1024),
@@ -23,6 +29,16 @@
     ("grpc.max_reconnect_backoff_ms", 2000),
     # Two programs must not share one port: half of the calls would go astray.
     ("grpc.so_reuseport", 0),
+    # A connection may fall silent for good without a reset, behind a partition or a
+    # host that lost its power: a stream would wait for its next reply for ever, and
+    # each call would run into its timeout. A ping that stays unanswered ends the
+    # connection, and the next call opens another. No limit on pings: the usual one of
+    # the library closes connections that are only asked for a sign of life.
+    ("grpc.keepalive_time_ms", int(1000 * KEEPALIVE_SECONDS)),
+    ("grpc.keepalive_timeout_ms", int(1000 * KEEPALIVE_TIMEOUT_SECONDS)),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
 )
 
 
--- a/tests/protocol/test_rpc.py
+++ b/tests/protocol/test_rpc.py
@@ -1,4 +1,6 @@
+import gevent
 import pytest
+from gevent import event, socket
 
 from ibisshunt.exceptions import RpcError
 from ibisshunt.model.address import Address
@@ -39,3 +41,59 @@
         channel.call(REPORT, ReportRequest("b1", "balancer", 4), timeout=0.5)
     assert caught.value.fault.peer == str(server.address)
     channel.close()
+
+
+class SilentRelay:
+    """Copy bytes between a channel and a server until it is told to fall silent."""
+
+    def __init__(self, server):
+        self.is_silent = False
+        self._server = server
+        self._sockets = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        self._tasks = [gevent.spawn(self._accept)]
+
+    def stop(self):
+        gevent.killall(self._tasks)
+        for found in (self._listener, *self._sockets):
+            found.close()
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            far = socket.create_connection((self._server.ip, self._server.port))
+            self._sockets += [near, far]
+            for pair in ((near, far), (far, near)):
+                self._tasks.append(gevent.spawn(self._copy, *pair))
+
+    def _copy(self, source, sink):
+        # What comes after the silence began is read and lost, as behind a partition.
+        while part := source.recv(65_536):
+            if not self.is_silent:
+                sink.sendall(part)
+
+
+def test_a_stream_whose_connection_fell_silent_ends():
+    # A node watches control. The path between them goes silent without a reset, as
+    # behind a partition. Without a sign of life of its own the stream would wait for
+    # its next update for ever, and the node would keep an old configuration.
+    release = event.Event()
+
+    def watch(request, context):
+        yield ConfigurationUpdate(0, 1, (), (), 7)
+        release.wait()
+
+    server = Server(Address("127.0.0.1", 0), {WATCH: watch})
+    server.start()
+    relay = SilentRelay(server.address)
+    channel = Channel(relay.address)
+    updates = channel.stream(WATCH, WatchRequest("b1", 3))
+    assert next(updates).revision == 1
+    relay.is_silent = True
+    with gevent.Timeout(60), pytest.raises(RpcError):
+        next(updates)
+    release.set()
+    channel.close()
+    relay.stop()
+    server.stop()
