Let an agent that stops without its target say that the flows have ended

Each agent fell silent as ABSENT; for 1.7 s every search for a flow waited for it (flow_not_found silent=1 to 4, some 300 a second), callers heard nothing, repeated their packets and were searched for again. Ruled out: agents that are rolled (none was), balancers that did not know the list (learning=False). Change: such an agent has missed the heartbeats of its target and says GONE.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -131,7 +131,7 @@
 
     def stop(self) -> None:
         """Take no more flows, and wait for the requests at work, 2 s at most."""
-        self.agent.pause()
+        self.agent.pause(read_clock())
         self.tell_all()
         deadline = read_clock() + STOP_SECONDS
         while read_clock() < deadline and self.agent.requests.active:
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -135,9 +135,19 @@
         self._drop_flows()
         return True
 
-    def pause(self) -> None:
-        """Tell from now on that this agent is about to restart."""
+    def pause(self, now: float) -> None:
+        """Tell from now on that this agent is about to restart, or goes for good.
+
+        A target that fell silent long ago has taken its flows along, and its host may
+        go with it. Without that word every balancer waits 1.7 s for this agent before
+        it tells a caller that a flow has ended: while hosts went one by one after an
+        outage, callers heard nothing for ten seconds.
+        """
         self._paused = True
+        if self.state == TargetState.ABSENT and self._is_target_dead(now):
+            self.state = TargetState.GONE
+            self._tell_event("target_dead", service=self.service)
+            self._drop_flows()
 
     def report(self, now: float) -> Status:
         """Return the next status for the balancers."""
@@ -175,10 +185,9 @@
         if now >= self._sweep_at:
             self._sweep_at = now + 1.0
             self._forget(now)
-        limit = MISSED_HEARTBEATS * self._heartbeat
         if self.state not in (TargetState.OPEN, TargetState.DRAINING):
             return False
-        if now - self._announced_at < limit:
+        if not self._is_target_dead(now):
             return False
         self.state = TargetState.ABSENT
         self._tell_event("target_silent", service=self.service, flows=len(self.flows))
@@ -279,9 +288,11 @@
             return Answer.NOT_HELD
         if self.state != TargetState.ABSENT:
             return Answer.MAYBE
-        limit = MISSED_HEARTBEATS * self._heartbeat
-        is_dead = now - self._announced_at >= limit
-        return Answer.NOT_HELD if is_dead else Answer.UNHEARD
+        return Answer.NOT_HELD if self._is_target_dead(now) else Answer.UNHEARD
+
+    def _is_target_dead(self, now: float) -> bool:
+        """Tell whether the target has missed its heartbeats, since the start too."""
+        return now - self._announced_at >= MISSED_HEARTBEATS * self._heartbeat
 
     def count_load(self, now: float) -> int:
         """Return the requests at the target and the flows that have just opened."""
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -145,7 +145,7 @@
     # so its flows are not reset meanwhile.
     world = World()
     address, number = world.open(FIRST)
-    world.agents[address].pause()
+    world.agents[address].pause(world.now)
     world.tell_all()
     world.silent.add(address)
     world.wait(4.0)
@@ -153,6 +153,39 @@
     assert not world.resets
 
 
+def stop_beside_silent_target(world, address, seconds):
+    """Restart an agent whose target is dark; stop it ``seconds`` later for good."""
+    world.agents[address] = world.make_agent()
+    world.tell_all()
+    world.wait(seconds)
+    world.agents[address].pause(world.now)
+    world.tell_all()
+    world.silent.add(address)
+    world.wait(0.1)
+
+
+def test_an_agent_that_stops_without_its_target_is_not_waited_for():
+    # After an outage hosts without a target go one after the other. Each agent has
+    # missed the heartbeats of its target by then and says so; a caller whose flow ended
+    # with that target is told at once, and not when the agent counts as lost.
+    world = World()
+    address, number = world.open(FIRST)
+    stop_beside_silent_target(world, address, MISSED_HEARTBEATS * HEARTBEAT + 0.1)
+    world.send(SECOND, data_segment(make_key(), number))
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
+
+
+def test_an_agent_that_stops_before_it_could_hear_its_target_is_waited_for():
+    # The agent is stopped a moment after its start: its target may live and beat soon,
+    # and a reset would break the flow that it holds.
+    world = World()
+    address, number = world.open(FIRST)
+    stop_beside_silent_target(world, address, MISSED_HEARTBEATS * HEARTBEAT - 0.3)
+    world.send(SECOND, data_segment(make_key(), number))
+    world.wait(0.5)
+    assert not world.resets
+
+
 def test_a_draining_target_gets_no_new_flow_through_a_stale_balancer():
     # The target said that it leaves, its agent knows, a balancer does not yet: the
     # agent sends the opening packet back and another target takes the flow.
