Let one agent gather what the others answer about a lost flow

Cause: after an outage every caller goes on with a flow that has ended, and each question brought an entry host one answer from each of 64 agents, some 3 kB and 64 rounds through all of a search's agents. Change: the agent that spreads a question gathers the answers for 20 ms and sends one message; who holds the flow is told at once, late answers are sent on. Addresses take four bytes. Searches are looked at when something is due and not each 20 ms. Targets that have gone are not asked.

--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -1,6 +1,6 @@
 """Send and receive typed messages between nodes as datagrams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -16,6 +16,7 @@
 )
 from ...coordination.forwarding.messages import (
     Deliver,
+    Gathered,
     Known,
     OnBehalf,
     Relay,
@@ -34,6 +35,7 @@
     | Relay
     | OnBehalf
     | Told
+    | Gathered
     | Seek
     | Known
     | Status
@@ -69,14 +71,23 @@
 
     def send(self, peer: str, message: Any) -> None:
         """Send a message without waiting; what the system refuses is lost."""
-        try:
-            self._socket.send_to(self._encode(message), (peer, self._port))
-        except OSError as error:
-            # Datagrams get lost anyway and every message is sent again by its
-            # sender's timers; the count tells when it happens often.
-            self.unsent += 1
-            if self.unsent & (self.unsent - 1) == 0:
-                warn_event("datagram_unsent", peer=peer, error=error, count=self.unsent)
+        self.send_all((peer,), message)
+
+    def send_all(self, peers: Iterable[str], message: Any) -> None:
+        """Send one message to many nodes, as ``send`` does."""
+        data = self._encode(message)
+        for peer in peers:
+            try:
+                self._socket.send_to(data, (peer, self._port))
+            except OSError as error:
+                # Datagrams get lost anyway and every message is sent again by its
+                # sender's timers; the count tells when it happens often.
+                self._note_unsent(peer, error)
+
+    def _note_unsent(self, peer: str, error: OSError) -> None:
+        self.unsent += 1
+        if self.unsent & (self.unsent - 1) == 0:
+            warn_event("datagram_unsent", peer=peer, error=error, count=self.unsent)
 
     def run(self) -> None:
         """Serve until killed."""
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -4,15 +4,20 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
+from ...coordination.forwarding.addresses import unpack_addresses
 from ...coordination.forwarding.agent import Action, Agent, Announcement
+from ...coordination.forwarding.gathering import Gatherings
 from ...coordination.forwarding.messages import (
     Ask,
     Deliver,
     OnBehalf,
+    Probe,
     Relay,
     Send,
     TargetState,
+    Told,
     ToTarget,
 )
 from ...helpers.clock import read_clock
@@ -35,6 +40,9 @@
 CHANGE_SECONDS = 0.08
 CHANGE_SECONDS_EACH = 0.008
 TICK_SECONDS = 0.04
+# How often gathered answers are looked at while any are gathered. Unit: seconds.
+# Source: half of the time for which answers are waited for.
+GATHER_TICK_SECONDS = 0.01
 # How long a stop waits for the requests at work. Unit: seconds. Source: a stop may
 # take 6 s at most; requests take some hundred milliseconds.
 STOP_SECONDS = 2.0
@@ -73,12 +81,15 @@
         self._caller_port = settings.packets.port
         self._target = settings.target.as_pair()
         self._socket = DatagramSocket(settings.outward)
+        self._gatherings = Gatherings()
+        self._gathers = Event()
         self._status_at = 0.0
         self._told_at = 0.0
         self._told_load = 0
         inner.handle(Deliver, self._take_delivery)
         inner.handle(Relay, self._take_relay)
         inner.handle(OnBehalf, self._take_relayed)
+        inner.handle(Told, self._take_told)
 
     def run(self) -> None:
         """Serve the target until killed."""
@@ -94,6 +105,16 @@
                 self.tell_all()
             gevent.sleep(TICK_SECONDS)
 
+    def run_gathering(self) -> None:
+        """Send on the answers that were gathered until killed."""
+        while True:
+            self._gathers.wait()
+            gevent.sleep(GATHER_TICK_SECONDS)
+            for action in self._gatherings.sweep(read_clock()):
+                self._carry_out(action)
+            if not self._gatherings:
+                self._gathers.clear()
+
     def _has_changed(self, now: float) -> bool:
         balancers = len(self._list_balancers())
         if now < self._told_at + CHANGE_SECONDS + CHANGE_SECONDS_EACH * balancers:
@@ -108,8 +129,7 @@
         self._told_at = now
         self._told_load = self.agent.count_load(now)
         status = self.agent.report(now)
-        for address in self._list_balancers():
-            self._inner.send(address, status)
+        self._inner.send_all(self._list_balancers(), status)
 
     def meet(self, peer: str) -> None:
         """Tell one balancer of the target."""
@@ -166,21 +186,37 @@
         self._carry_out(self.agent.take(peer, message, segment, read_clock()))
 
     def _take_relay(self, peer: str, message: Relay) -> None:
-        relayed = OnBehalf(peer, message.question)
-        for address in message.to:
-            self._inner.send(address, relayed)
+        key = self._find_key(message.question)
+        if key is None:
+            return
+        asked = unpack_addresses(message.to)
+        self._gatherings.begin(peer, message.number, key, asked, read_clock())
+        self._gathers.set()
+        self._inner.send_all(asked, OnBehalf(message.question))
+
+    def _find_key(self, question: Ask | Probe) -> bytes | None:
+        if isinstance(question, Ask):
+            return question.key
+        segment = self._codec.parse_inward(question.packet)
+        if segment is None:
+            self.unreadable += 1
+            return None
+        return segment.key
 
     def _take_relayed(self, peer: str, message: OnBehalf) -> None:
         question, now = message.question, read_clock()
         if isinstance(question, Ask):
-            self._inner.send(message.origin, self.agent.tell(question, now))
+            self._inner.send(peer, self.agent.tell(question, now))
             return
         segment = self._codec.parse_inward(question.packet)
         if segment is None:
             self.unreadable += 1
             return
-        action = self.agent.take_probe(message.origin, question, segment, now)
-        self._carry_out(action)
+        self._carry_out(self.agent.take_probe(peer, question, segment, now))
+
+    def _take_told(self, peer: str, told: Told) -> None:
+        for action in self._gatherings.take(peer, told, read_clock()):
+            self._carry_out(action)
 
     def _take_outward(self, data: bytes, sender: tuple[str, int]) -> None:
         segment = self._codec.parse_outward(data)
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -9,13 +9,13 @@
 from ...coordination.directory.messages import Introduce
 from ...coordination.forwarding.balancer import Action, Balancer
 from ...coordination.forwarding.messages import (
+    Gathered,
     Known,
     Reset,
     Returned,
     Seek,
     Send,
     Status,
-    Told,
 )
 from ...coordination.forwarding.routes import RouteTable
 from ...helpers.clock import read_clock
@@ -65,7 +65,7 @@
         self._socket = DatagramSocket(settings.packets)
         inner.handle(Status, self._take_status)
         inner.handle(Returned, self._take_returned)
-        inner.handle(Told, self._take_told)
+        inner.handle(Gathered, self._take_gathered)
         inner.handle(Seek, self._take_seek)
         inner.handle(Known, self._take_known)
 
@@ -168,10 +168,8 @@
         now = read_clock()
         self._carry_out(self.balancer.take_returned(peer, message, segment, now))
 
-    def _take_told(self, peer: str, message: Told) -> None:
-        now = read_clock()
-        actions = self.balancer.take_told(peer, message.key, message.answer, now)
-        self._carry_out(actions)
+    def _take_gathered(self, peer: str, message: Gathered) -> None:
+        self._carry_out(self.balancer.take_gathered(message, read_clock()))
 
     def _take_seek(self, peer: str, message: Seek) -> None:
         known = self.balancer.tell_known(message, read_clock())
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -13,6 +13,7 @@
 from .messages import (
     Answer,
     Deliver,
+    Gathered,
     Known,
     Reason,
     Reset,
@@ -20,6 +21,7 @@
     Seek,
     Send,
     Status,
+    TargetState,
 )
 from .placement import Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
@@ -216,11 +218,9 @@
                 stuck.add(service)
         return actions
 
-    def take_told(
-        self, address: str, key: bytes, answer: int, now: float
-    ) -> list[Action]:
-        """Take an agent's answer about a flow."""
-        return self.searches.answer(address, key, answer, now)
+    def take_gathered(self, message: Gathered, now: float) -> list[Action]:
+        """Take what agents answered about a flow."""
+        return self.searches.take_gathered(message, now)
 
     # How a flow opens.
 
@@ -473,10 +473,16 @@
         """Return all targets that may hold a flow, those of its service first.
 
         A flow stays where it is when its route changes, so any service may hold it.
+        Targets that have gone hold none: while their agents are remembered, each search
+        would wait for answers that do not come.
         """
         route = self.routes.find(key[6:])
         likely = {share.service for share in route.shares} if route else set()
-        targets = list(self.targets.values())
+        targets = [
+            target
+            for target in self.targets.values()
+            if target.status.state != TargetState.GONE
+        ]
         return sorted(targets, key=lambda found: found.status.service not in likely)
 
     # What is forgotten.
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -26,7 +26,7 @@
 
     MAYBE: its agent started after it. UNHEARD: its agent has not even heard it since;
     there may be no target at all. KEPT: held, and the target has the packet that it was
-    probed with.
+    probed with. SILENT: no answer has come; told by who gathers answers.
     """
 
     HELD = 0
@@ -34,6 +34,7 @@
     MAYBE = 2
     UNHEARD = 3
     KEPT = 4
+    SILENT = 5
 
 
 class Reason(IntEnum):
@@ -111,9 +112,10 @@
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Hand a packet to a target of the service ``tag`` to learn whether it holds it.
 
-    The answer is Told: not held when the target sent the packet back, which itself
-    need not come back, since the balancer keeps it; held when the target answered the
-    caller. A target that takes a packet may also answer nothing for a while.
+    The answer is Told, as to Ask: not held when the target sent the packet back, which
+    itself need not come back, since the balancer keeps it; held when the target
+    answered the caller. A target that takes a packet may also answer nothing for a
+    while.
     """
 
     tag: int
@@ -121,25 +123,39 @@
 
 
 class Relay(msgspec.Struct, frozen=True, array_like=True, tag="y"):
-    """Ask an agent to send a question on to other agents.
+    """Ask an agent to send a question on to other agents and to gather the answers.
 
-    Entry hosts have thin links and agents have not: one copy leaves the balancer
-    instead of one for each agent.
+    Entry hosts have thin links and agents have not: one copy leaves the balancer, and
+    one answer comes back, instead of one for each agent. ``to`` holds the addresses,
+    four bytes each; ``number`` names the round to the balancer.
     """
 
-    to: tuple[str, ...]
+    to: bytes
     question: Ask | Probe
+    number: int
 
 
 class OnBehalf(msgspec.Struct, frozen=True, array_like=True, tag="z"):
-    """Bring a relayed question; the answer goes to the balancer at ``origin``."""
+    """Bring a relayed question; the answer goes to the agent that brought it."""
 
-    origin: str
     question: Ask | Probe
 
 
+class Gathered(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """Bring what the agents of a round answered about a flow.
+
+    ``told`` gives, for an answer, the addresses of those that gave it, four bytes
+    each; all others of the round ``number`` gave the answer ``rest``.
+    """
+
+    key: bytes
+    number: int
+    rest: int
+    told: tuple[tuple[int, bytes], ...] = ()
+
+
 class Told(msgspec.Struct, frozen=True, array_like=True, tag="t"):
-    """Answer Ask."""
+    """Answer OnBehalf."""
 
     key: bytes
     answer: int
@@ -168,7 +184,7 @@
     """Ask the task to send a message to the node at ``peer``, an IPv4 address."""
 
     peer: str
-    message: Deliver | Returned | Relay | Told | Status | Seek | Known
+    message: Deliver | Returned | Relay | Told | Gathered | Status | Seek | Known
 
 
 class ToTarget(msgspec.Struct, frozen=True):
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -96,6 +96,11 @@
         limit = PAUSE_SECONDS if paused else LOST_SECONDS
         return now - self.heard_at >= limit
 
+    def may_relay(self, now: float) -> bool:
+        """Tell whether its agent can ask others on behalf of a balancer."""
+        is_leaving = self.status.state in (TargetState.GONE, TargetState.PAUSED)
+        return not is_leaving and not self.is_silent(now)
+
     def may_return(self, now: float) -> bool:
         """Tell whether new flows may go there again within a second or two."""
         state = self.status.state
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from .messages import Answer, TargetState
+from .addresses import unpack_addresses
+from .messages import Answer, Gathered, TargetState
 from .placement import Target
 from .routes import make_tag
 from .segment import Segment
@@ -19,13 +20,19 @@
 # (200 ms). Without the growth the questions of thirty flows to eighty agents filled an
 # entry host's link of 2.2 Mbit/s, and no answer came through.
 FIRST_PAUSE_SECONDS = 0.06
+# How often a search is looked at when nothing has come. Unit: seconds. Source: targets
+# become lost or known meanwhile, which need not be seen sooner; each look goes through
+# all agents, and at 20 ms some hundred searches took half of a thin host's processor.
+CHECK_SECONDS = 0.1
 
 
 @dataclass(slots=True)
 class Search:
     """Hold the packets of a flow that is looked for, and what agents answered.
 
-    ``tags`` gives the service tag of each agent that is asked, by address.
+    ``tags`` gives the service tag of each agent that is asked, by address; ``relayed``
+    who was asked in each round. ``due_at`` is when it has to be looked at again though
+    no answer has come. Times are in seconds.
     """
 
     last: Segment
@@ -40,6 +47,8 @@
     probes: int = 0
     is_asked_by_probe: bool = False
     probed_at: float = float("-inf")
+    relayed: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    due_at: float = float("-inf")
 
     def keep(self, segment: Segment) -> None:
         """Keep another packet of the flow."""
@@ -50,7 +59,34 @@
     def add(self, address: str, service: str) -> None:
         """Ask an agent too that was not known when the search began."""
         self.tags.setdefault(address, make_tag(service))
-        self.asked_at = float("-inf")
+        self.asked_at = self.due_at = float("-inf")
+
+    def note(self, address: str, answer: int) -> None:
+        """Take an agent's answer; a refusal is final."""
+        if answer == Answer.SILENT or self.answers.get(address) == Answer.NOT_HELD:
+            return
+        self.answers[address] = answer
+
+    def take_gathered(self, message: Gathered) -> None:
+        """Take the answers of a round, or single ones that came late."""
+        answers = {
+            address: answer
+            for answer, packed in message.told
+            for address in unpack_addresses(packed)
+        }
+        for address in self.relayed.pop(message.number, ()):
+            answers.setdefault(address, message.rest)
+        for address, answer in answers.items():
+            self.note(address, answer)
+
+    def plan(self, now: float, patience: float) -> None:
+        """Note when to look at this search again."""
+        self.due_at = now + CHECK_SECONDS
+        if self.tags.keys() - self.answers.keys():
+            ask_at = max(self.agents_at, self.asked_at + self.pause)
+            self.due_at = min(self.due_at, ask_at)
+        if now < self.probed_at + patience:
+            self.due_at = min(self.due_at, self.probed_at + patience)
 
     def find_holder(self, now: float, patience: float) -> str | None:
         """Return who holds the flow, or who kept the packet it was probed with.
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -3,7 +3,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .messages import Answer, Ask, Deliver, Probe, Relay, Reset, Seek, Send
+from .addresses import pack_addresses
+from .messages import (
+    Answer,
+    Ask,
+    Deliver,
+    Gathered,
+    Probe,
+    Relay,
+    Reset,
+    Seek,
+    Send,
+)
 from .placement import Target
 from .routes import make_tag
 from .search import Search, start_search
@@ -15,8 +26,9 @@
 # millisecond; a thin host answers within some.
 PEER_SECONDS = 0.012
 # How long a probed target has to send a packet back that it does not hold. Unit:
-# seconds. Source: some round trips, on a link that others use too.
-PROBE_SECONDS = 0.03
+# seconds. Source: the time for which answers are gathered (20 ms) and some round
+# trips, on a link that others use too.
+PROBE_SECONDS = 0.05
 # How long silent agents are waited for. Unit: seconds. Source: a caller's packet
 # starts the next search anyway.
 SEARCH_SECONDS = 1.0
@@ -69,6 +81,8 @@
         self._tell_event = tell
         self._note_found = note_found
         self._young_until = now + YOUNG_SECONDS
+        # Number of the last round of questions; 0 is none.
+        self._round = 0
 
     def __len__(self) -> int:
         return len(self._open)
@@ -112,18 +126,31 @@
         search = self._open.get(key)
         if search is None:
             return []
-        if search.answers.get(address) != Answer.NOT_HELD:
-            search.answers[address] = answer
+        search.note(address, answer)
         return self._go_on(key, search, now)
 
+    def take_gathered(self, message: Gathered, now: float) -> list[Action]:
+        """Take what agents answered in a round."""
+        search = self._open.get(message.key)
+        if search is None:
+            return []
+        search.take_gathered(message)
+        return self._go_on(message.key, search, now)
+
     def go_on_all(self, now: float) -> list[Action]:
         """Ask again, probe or give up where it is time to."""
         actions: list[Action] = []
         for key, search in tuple(self._open.items()):
-            actions += self._go_on(key, search, now)
+            if now >= search.due_at:
+                actions += self._go_on(key, search, now)
         return actions
 
     def _go_on(self, key: bytes, search: Search, now: float) -> list[Action]:
+        actions = self._decide(key, search, now)
+        search.plan(now, PROBE_SECONDS)
+        return actions
+
+    def _decide(self, key: bytes, search: Search, now: float) -> list[Action]:
         holder = search.find_holder(now, PROBE_SECONDS)
         if holder:
             return self._settle(key, search, holder, now)
@@ -162,7 +189,7 @@
             search.is_asked_by_probe = True
             return self._probe(search, search.group(asked), now)
         question = Ask(search.key, search.last.acknowledgement)
-        return self._spread(asked, question, now)
+        return self._spread(search, asked, question, now)
 
     def _misses_any(self, now: float) -> bool:
         return any(target.is_silent(now) for target in self._known.targets.values())
@@ -173,29 +200,31 @@
         packet = search.held[0].raw
         actions: list[Action] = []
         for tag, addresses in probed.items():
-            actions += self._spread(addresses, Probe(tag, packet), now)
+            actions += self._spread(search, addresses, Probe(tag, packet), now)
         return actions
 
     def _spread(
-        self, to: tuple[str, ...], question: Ask | Probe, now: float
+        self, search: Search, to: tuple[str, ...], question: Ask | Probe, now: float
     ) -> list[Action]:
-        """Send one question to many agents through one of them.
+        """Send one question to many agents through one of them, which gathers answers.
 
         The questions about a hundred flows to eighty agents, sent from here, kept a
         link of 2.2 Mbit/s full for good: no new flow got through, callers repeated
         their packets, and each repeat asked again.
         """
-        able = [
-            target
-            for target in self._known.targets.values()
-            if not target.is_silent(now)
-        ]
-        if not able:
-            able = list(self._known.targets.values())
-        if not able:
+        relay = self._draw_relay(now)
+        if relay is None:
             return []
-        relay = able[int(self._draw() * len(able))]
-        return [Send(relay.address, Relay(to, question))]
+        self._round += 1
+        search.relayed[self._round] = to
+        message = Relay(pack_addresses(to), question, self._round)
+        return [Send(relay.address, message)]
+
+    def _draw_relay(self, now: float) -> Target | None:
+        """Return an agent that was heard lately and stays, or else any, or None."""
+        targets = list(self._known.targets.values())
+        able = [target for target in targets if target.may_relay(now)] or targets
+        return able[int(self._draw() * len(able))] if able else None
 
     def _settle(
         self, key: bytes, search: Search, holder: str, now: float
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -119,6 +119,7 @@
     kernel.spawn("directory", directory.run)
     kernel.spawn("outward", task.run)
     kernel.spawn("status", task.run_status)
+    kernel.spawn("gathering", task.run_gathering)
     kernel.register("directory", directory, dump=directory.dump)
     server = SmallServer(settings.control, answer_endpoint(task))
     server.start()
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -3,8 +3,10 @@
 import random
 from dataclasses import dataclass, field, replace
 
+from ibisshunt.coordination.forwarding.addresses import unpack_addresses
 from ibisshunt.coordination.forwarding.agent import Agent, Announcement
 from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.gathering import Gatherings
 from ibisshunt.coordination.forwarding.messages import (
     Ask,
     Deliver,
@@ -96,7 +98,10 @@
             f"10.0.1.{number}": self.make_balancer() for number in range(balancers)
         }
         self.agents = {}
+        self.gatherings = {}
         self.targets = {}
+        # Messages of agents that reached balancers, but for statuses.
+        self.told = []
         self.silent = set()
         self.to_callers = []
         self.resets = []
@@ -116,6 +121,7 @@
     def add_target(self, address, first, service=SERVICE):
         """Add a target that starts after its agent."""
         self.agents[address] = self.make_agent(service)
+        self.gatherings[address] = Gatherings()
         self.targets[address] = FakeTarget(first)
         self.beat(address, number=1, name=f"i-{first}")
 
@@ -165,6 +171,8 @@
                     if agent._announced is not None and address not in self.silent:
                         agent.announce(agent._announced, self.now)
                 self.tell_all()
+            for gatherings in self.gatherings.values():
+                self._gather(gatherings.sweep(self.now))
             for address, balancer in self.balancers.items():
                 self.carry_out(address, balancer.sweep(self.now))
 
@@ -207,9 +215,7 @@
                 self.carry_out(balancer, found)
             return
         if isinstance(action.message, Relay):
-            for address in action.message.to:
-                if address not in self.silent and address in self.agents:
-                    self._answer(balancer, address, action.message.question)
+            self._relay(balancer, action.peer, action.message)
             return
         agent = self.agents[action.peer]
         assert isinstance(action.message, Deliver)
@@ -217,20 +223,36 @@
         answer = agent.take(balancer, action.message, segment, self.now)
         self._follow(balancer, action.peer, answer, segment)
 
-    def _answer(self, balancer, address, question):
+    def _relay(self, balancer, relay, message):
+        question = message.question
+        key = question.key if isinstance(question, Ask) else None
+        key = key or self._segments[question.packet].key
+        asked = unpack_addresses(message.to)
+        gatherings = self.gatherings[relay]
+        gatherings.begin(balancer, message.number, key, asked, self.now)
+        for address in asked:
+            if address not in self.silent and address in self.agents:
+                self._answer(relay, address, question)
+
+    def _answer(self, relay, address, question):
         agent = self.agents[address]
         if isinstance(question, Ask):
-            self._tell(balancer, address, agent.tell(question, self.now))
+            self._tell(relay, address, agent.tell(question, self.now))
             return
         segment = self._segments[question.packet]
-        answer = agent.take_probe(balancer, question, segment, self.now)
-        self._follow(balancer, address, answer, segment)
-
-    def _tell(self, balancer, address, told):
-        found = self.balancers[balancer].take_told(
-            address, told.key, told.answer, self.now
-        )
-        self.carry_out(balancer, found)
+        answer = agent.take_probe(relay, question, segment, self.now)
+        self._follow(relay, address, answer, segment)
+
+    def _tell(self, relay, address, told):
+        self._gather(self.gatherings[relay].take(address, told, self.now))
+
+    def _gather(self, actions):
+        for action in actions:
+            self.told.append(action)
+            if action.peer in self.balancers:
+                balancer = self.balancers[action.peer]
+                found = balancer.take_gathered(action.message, self.now)
+                self.carry_out(action.peer, found)
 
     def _follow(self, balancer, address, answer, segment):
         if isinstance(answer, ToTarget):
