Bound the library's own pings too, so that a silent connection ends in time

The trace of http2_ping shows the library's own ping under way when the connection fell silent; the keep-alive counts on it, and it had a minute (Set ping timeout timer of 60000ms). Ruled out: the machine's load (idle, load average 0.03) and the test's relay. The test now tries both cases and cleans up when it fails.

--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -36,6 +36,9 @@
     # the library closes connections that are only asked for a sign of life.
     ("grpc.keepalive_time_ms", int(1000 * KEEPALIVE_SECONDS)),
     ("grpc.keepalive_timeout_ms", int(1000 * KEEPALIVE_TIMEOUT_SECONDS)),
+    # The same for the library's own pings: one that was under way when the connection
+    # fell silent stands for the sign of life, and had a minute.
+    ("grpc.http2.ping_timeout_ms", int(1000 * KEEPALIVE_TIMEOUT_SECONDS)),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.max_ping_strikes", 0),
--- a/tests/protocol/test_rpc.py
+++ b/tests/protocol/test_rpc.py
@@ -74,10 +74,9 @@
                 sink.sendall(part)
 
 
-def test_a_stream_whose_connection_fell_silent_ends():
-    # A node watches control. The path between them goes silent without a reset, as
-    # behind a partition. Without a sign of life of its own the stream would wait for
-    # its next update for ever, and the node would keep an old configuration.
+@pytest.fixture
+def watched():
+    """Yield a relay to a server whose stream brings one update and no more."""
     release = event.Event()
 
     def watch(request, context):
@@ -87,13 +86,25 @@
     server = Server(Address("127.0.0.1", 0), {WATCH: watch})
     server.start()
     relay = SilentRelay(server.address)
-    channel = Channel(relay.address)
-    updates = channel.stream(WATCH, WatchRequest("b1", 3))
-    assert next(updates).revision == 1
-    relay.is_silent = True
-    with gevent.Timeout(60), pytest.raises(RpcError):
-        next(updates)
+    yield relay
     release.set()
-    channel.close()
     relay.stop()
     server.stop()
+
+
+@pytest.mark.parametrize("settled", [0.0, 0.5])
+def test_a_stream_whose_connection_fell_silent_ends(watched, settled):
+    # A node watches control. The path between them goes silent without a reset, as
+    # behind a partition, while a ping of the library is under way or later. Without a
+    # sign of life of its own the stream would wait for its next update for ever, and
+    # the node would keep an old configuration.
+    channel = Channel(watched.address)
+    updates = channel.stream(WATCH, WatchRequest("b1", 3))
+    assert next(updates).revision == 1
+    gevent.sleep(settled)
+    watched.is_silent = True
+    try:
+        with gevent.Timeout(40), pytest.raises(RpcError):
+            next(updates)
+    finally:
+        channel.close()
