--- a/tests/coordination/forwarding/test_gathering.py
+++ b/tests/coordination/forwarding/test_gathering.py
@@ -1,5 +1,6 @@
 """One agent gathers what many answer: a thin host gets one message a question."""
 
+import pytest
 from hypothesis import given, strategies as st
 
 from ibisshunt.coordination.forwarding.addresses import (
@@ -12,8 +13,15 @@
     NO_ROUND,
     Gatherings,
 )
-from ibisshunt.coordination.forwarding.messages import Answer, Told
+from ibisshunt.coordination.forwarding.messages import (
+    Answer,
+    Gathered,
+    Relay,
+    TargetState,
+    Told,
+)
 from ibisshunt.coordination.forwarding.search import Search
+from ibisshunt.coordination.forwarding.searching import PROBE_SECONDS
 
 from ...forwarding_world import World, data_segment, make_key
 
@@ -119,6 +127,56 @@
     assert unpack_addresses(packed + b"\x0a\x00") == tuple(addresses)
 
 
+def test_an_agent_that_was_not_asked_in_a_round_has_not_refused():
+    # An agent becomes known while the others are asked. Their answers come back as
+    # "all refused": taken for this agent too, its open flow would be reset.
+    search = Search(data_segment(KEY, 1), dict.fromkeys(AGENTS[:2], 0), 0.0)
+    search.relayed[1] = AGENTS[:2]
+    search.add(AGENTS[2], "booking")
+    search.take_gathered(Gathered(KEY, 1, Answer.NOT_HELD))
+    assert search.silent() == [AGENTS[2]]
+
+
+def test_a_refusal_is_final():
+    # A target sends a probe back, and its agent's answer to the question before, that
+    # it may hold the flow, comes later. Believed, it would be taken for the holder.
+    search = Search(data_segment(KEY, 1), dict.fromkeys(AGENTS, 0), 0.0)
+    for answer in (Answer.NOT_HELD, Answer.MAYBE):
+        search.take_gathered(
+            Gathered(KEY, 0, Answer.SILENT, ((answer, pack_addresses(AGENTS[:1])),))
+        )
+    assert search.answers == {AGENTS[0]: Answer.NOT_HELD}
+    assert not search.has_maybe()
+
+
+def test_a_probed_flow_is_looked_at_when_the_probe_is_over():
+    # One target keeps the packet that it was probed with. It is known as the holder
+    # when the others have had their time, and not at the next look some time later.
+    search = Search(data_segment(KEY, 1), dict.fromkeys(AGENTS, 0), 0.0)
+    for address in AGENTS:
+        search.note(address, Answer.MAYBE)
+    assert search.start_probe(0.0, PROBE_SECONDS)
+    search.plan(0.001, PROBE_SECONDS)
+    assert search.due_at == PROBE_SECONDS
+
+
+@pytest.mark.parametrize("state", [TargetState.GONE, TargetState.PAUSED])
+def test_no_question_is_given_to_an_agent_that_is_about_to_stop(state):
+    # Hosts are replaced one after the other. A question that is given to an agent as
+    # it stops is lost, and its caller waits for the next round.
+    world = World(targets=2, balancers=1)
+    leaving, staying = world.agents
+    if state == TargetState.GONE:
+        world.agents[leaving].leave(f"i-{world.targets[leaving].first}")
+    else:
+        world.agents[leaving].pause(world.now)
+    world.tell_all()
+    for port in range(41_000, 41_020):
+        world.send("10.0.1.0", data_segment(make_key(port), 77))
+    relays = {sent.peer for sent in world.sent if isinstance(sent.message, Relay)}
+    assert relays == {staying}
+
+
 def test_a_search_brings_a_thin_host_one_answer():
     # After an outage hundreds of callers go on with flows that ended. Answers of each
     # of eighty agents to each question filled an entry host's link for ten seconds.
--- a/tests/helpers/test_decisions.py
+++ b/tests/helpers/test_decisions.py
@@ -69,3 +69,11 @@
         assert event == "lines_left_out"
         told.update(fields)
     assert told == {"count": 5, "flow_placed": 3, "flow_refused": 2}
+
+
+def test_quiet_hours_save_up_no_lines_for_a_burst(lines):
+    clock = Clock()
+    log = DecisionLog(per_second=40, at_once=10, read_now=clock)
+    clock.now += 3600
+    tell(log, "flow_placed", 300)
+    assert len([line for line in lines if isinstance(line, str)]) == 10
