--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -115,8 +115,15 @@
                     "a target that is open",
                 )
 
+    def show_logs(self):
+        """Print what each process has written last; shown when the test fails."""
+        for process in (self.core, *self.fronts, *self.sides):
+            print(f"--- {process.log.name}, exit code {process.process.poll()}")
+            print(process.read_log()[-1500:])
+
     def stop(self):
         """End everything."""
+        self.show_logs()
         self.client.close()
         for endpoint in self.endpoints:
             endpoint.stop()
