--- a/ibisshunt/coordination/forwarding/gathering.py
+++ b/ibisshunt/coordination/forwarding/gathering.py
@@ -18,8 +18,8 @@
 # back, with a margin for a host that is busy; below the pause after which a balancer
 # asks again (60 ms).
 GATHER_SECONDS = 0.02
-# How long an answer that is late is still sent on. Unit: seconds. Source: as long as
-# a balancer searches.
+# How long an answer that is late is still sent on. Unit: seconds. Source: twice the
+# longest pause after which a balancer asks again.
 LATE_SECONDS = 1.0
 # Answers that no other agent's answer can make void: the balancer gets them at once.
 FINAL = (Answer.HELD, Answer.KEPT)
@@ -69,7 +69,8 @@
     ) -> None:
         """Wait for the answers of ``asked`` about a flow."""
         found = Gathering(balancer, number, tuple(asked), now)
-        self._open.setdefault(key, []).append(found)
+        if found.asked:
+            self._open.setdefault(key, []).append(found)
 
     def take(self, address: str, told: Told, now: float) -> list[Send]:
         """Take an agent's answer; return what goes to balancers at once."""
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -12,7 +12,7 @@
 
     ABSENT: the agent has not heard its target since it started, or no longer.
     PAUSED: the agent is restarting; the target and its flows live on. DEAD: the target
-    has missed its heartbeats since the agent's start, and no flow of it was seen.
+    has missed its heartbeats, and its agent knows no flow of it.
     """
 
     OPEN = 0
--- a/tests/coordination/forwarding/test_gathering.py
+++ b/tests/coordination/forwarding/test_gathering.py
@@ -90,6 +90,13 @@
     assert not gatherings
 
 
+def test_a_question_to_nobody_is_not_waited_for():
+    # A list of addresses that was cut off on its way; the task must go on.
+    gatherings = begin(unpack_addresses(b"\x0a"))
+    assert not gatherings
+    assert not gatherings.sweep(GATHER_SECONDS)
+
+
 def test_two_balancers_that_ask_about_one_flow_both_hear():
     gatherings = begin()
     gatherings.begin("10.0.1.2", 9, KEY, AGENTS[:1], 0.0)
