Give an attempt to connect over gRPC a second instead of a tenth

The option min_reconnect_backoff_ms is, in spite of its name, the time that each attempt to connect gets; with 100 ms a host that is busy, or a TLS handshake that takes longer, could not be reached. Ruled out: the host was up and led (c4.log: consensus_role role=leader two seconds before); fork handlers; certificates.

--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -7,7 +7,7 @@
 import grpc
 import msgspec
 
-from ..const import LEASE_SECONDS, RPC_TIMEOUT_SECONDS
+from ..const import HEARTBEAT_SECONDS, LEASE_SECONDS, RPC_TIMEOUT_SECONDS
 from ..exceptions import Fault, RpcError
 from ..model.address import Address
 from .codec import encode
@@ -19,13 +19,20 @@
 KEEPALIVE_SECONDS = LEASE_SECONDS / 2
 KEEPALIVE_TIMEOUT_SECONDS = LEASE_SECONDS / 3
 
+# How long an attempt to connect may take. Unit: seconds. Source: half of a node's
+# heartbeat (2 s), so that a dark host is left for the next one before a lease ends; ten
+# times what a TLS handshake took on a busy machine.
+CONNECT_SECONDS = HEARTBEAT_SECONDS / 2
+
 CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
     ("grpc.max_send_message_length", 64 * 1024 * 1024),
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    # In spite of its name the time that each attempt gets. With 0.1 s a peer whose
+    # handshake took longer could not be reached at all ("tcp handshaker shutdown").
+    ("grpc.min_reconnect_backoff_ms", int(1000 * CONNECT_SECONDS)),
     ("grpc.max_reconnect_backoff_ms", 2000),
     # Two programs must not share one port: half of the calls would go astray.
     ("grpc.so_reuseport", 0),
--- a/tests/protocol/test_rpc.py
+++ b/tests/protocol/test_rpc.py
@@ -44,10 +44,14 @@
 
 
 class SilentRelay:
-    """Copy bytes between a channel and a server until it is told to fall silent."""
+    """Copy bytes between a channel and a server until it is told to fall silent.
 
-    def __init__(self, server):
+    ``delay`` holds each part up, in seconds.
+    """
+
+    def __init__(self, server, delay=0.0):
         self.is_silent = False
+        self._delay = delay
         self._server = server
         self._sockets = []
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -70,6 +74,7 @@
     def _copy(self, source, sink):
         # What comes after the silence began is read and lost, as behind a partition.
         while part := source.recv(65_536):
+            gevent.sleep(self._delay)
             if not self.is_silent:
                 sink.sendall(part)
 
@@ -108,3 +113,22 @@
             next(updates)
     finally:
         channel.close()
+
+
+def test_a_peer_whose_handshake_is_slow_is_reached():
+    # A busy host takes some tenths of a second for each step of the handshake. The
+    # operator's change must reach it, and not fail because the attempt was cut off.
+    server = Server(
+        Address("127.0.0.1", 0),
+        {REPORT: lambda request, context: ReportReply(request.revision + 1)},
+    )
+    server.start()
+    relay = SilentRelay(server.address, delay=0.2)
+    channel = Channel(relay.address)
+    try:
+        reply = channel.call(REPORT, ReportRequest("b1", "balancer", 4))
+        assert reply == ReportReply(5)
+    finally:
+        channel.close()
+        relay.stop()
+        server.stop()
