Ask all others before a flow is reset that its target does not hold

A balancer reset such a flow at once when packets had gone to its target for 0.2 s without coming back. That is no proof: copies of an opening packet go to two targets, the caller takes one, and the word of the other, that it does not hold the flow, may be lost or late on a thin host. Change: every flow that its target does not hold, or is lost with, is looked for among all other agents. The shortcut saved questions that filled a thin link; with gathered answers a flow costs some 350 bytes.

--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -37,9 +37,6 @@
 # each costs the caller a round trip of some milliseconds; more than this are only
 # full together, when a refusal serves the caller better than another try.
 MAX_OFFERS = 6
-# How long packets of a flow must have gone to a target without coming back before the
-# target is known to hold it. Unit: seconds. Source: many round trips.
-CONFIRMED_SECONDS = 0.2
 # Flows in one message between balancers. Source: what fits a packet of usual size.
 FLOWS_PER_MESSAGE = 40
 
@@ -78,11 +75,6 @@
     seen_at: float
     began: float
     offers: Offers = NO_OFFERS
-    along_at: float = float("inf")
-
-    def is_confirmed(self, now: float) -> bool:
-        """Tell whether the target surely held the flow."""
-        return now - self.along_at >= CONFIRMED_SECONDS
 
 
 class Balancer:
@@ -404,25 +396,18 @@
         flow.opening = False
         target = self.targets.get(flow.address)
         if target is not None and not target.is_lost(now):
-            flow.along_at = min(flow.along_at, now)
             return [deliver(flow.address, flow.service, segment)]
         return self._leave(segment, flow, now)
 
     def _leave(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
-        """Go on with a flow that its target does not hold, or is lost with."""
+        """Go on with a flow that its target does not hold, or is lost with.
+
+        Somebody else may hold it: a caller whose opening packet went to two targets
+        took the other one. That packets did not come back is no proof, their return may
+        have been lost; a reset without asking broke such a flow.
+        """
         del self.flows[segment.key]
-        if not flow.is_confirmed(now):
-            return self._search(segment, frozenset((flow.address,)), now)
-        # Flows never move between targets: nobody else can hold it, and asking all
-        # agents for each flow of a lost target would fill a thin host's link.
-        self.counters.reset += 1
-        self._tell_event(
-            "flow_reset",
-            flow=segment.key.hex(),
-            reason="target_gone",
-            peer=flow.address,
-        )
-        return [Reset(segment, "target_gone")]
+        return self._search(segment, frozenset((flow.address,)), now)
 
     def _search(
         self, segment: Segment, excluded: frozenset[str], now: float
