Read a caller's packet at an agent in one place; part a placed flow from the balancer

No change of decisions: three copies of reading and counting became one, and Flow and Offers stand in a module of their own. What has_lost_target tells is said as it is.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -20,6 +20,7 @@
     Told,
     ToTarget,
 )
+from ...coordination.forwarding.segment import Segment
 from ...helpers.clock import read_clock
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.decisions import DecisionLog
@@ -146,7 +147,7 @@
             self.tell_all()
 
     def has_lost_target(self) -> bool:
-        """Tell whether the target has said that it goes for good."""
+        """Tell whether the target has gone for good: it said so, or was long silent."""
         return self.agent.state == TargetState.GONE
 
     def stop(self) -> None:
@@ -179,11 +180,15 @@
         }
 
     def _take_delivery(self, peer: str, message: Deliver) -> None:
-        segment = self._codec.parse_inward(message.packet)
+        if segment := self._read(message.packet):
+            self._carry_out(self.agent.take(peer, message, segment, read_clock()))
+
+    def _read(self, packet: bytes) -> Segment | None:
+        """Return a caller's packet, or count it when it cannot be read."""
+        segment = self._codec.parse_inward(packet)
         if segment is None:
             self.unreadable += 1
-            return
-        self._carry_out(self.agent.take(peer, message, segment, read_clock()))
+        return segment
 
     def _take_relay(self, peer: str, message: Relay) -> None:
         key = self._find_key(message.question)
@@ -197,22 +202,16 @@
     def _find_key(self, question: Ask | Probe) -> bytes | None:
         if isinstance(question, Ask):
             return question.key
-        segment = self._codec.parse_inward(question.packet)
-        if segment is None:
-            self.unreadable += 1
-            return None
-        return segment.key
+        segment = self._read(question.packet)
+        return segment.key if segment else None
 
     def _take_relayed(self, peer: str, message: OnBehalf) -> None:
         question, now = message.question, read_clock()
         if isinstance(question, Ask):
             self._inner.send(peer, self.agent.tell(question, now))
             return
-        segment = self._codec.parse_inward(question.packet)
-        if segment is None:
-            self.unreadable += 1
-            return
-        self._carry_out(self.agent.take_probe(peer, question, segment, now))
+        if segment := self._read(question.packet):
+            self._carry_out(self.agent.take_probe(peer, question, segment, now))
 
     def _take_told(self, peer: str, told: Told) -> None:
         for action in self._gatherings.take(peer, told, read_clock()):
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -1,7 +1,6 @@
 """Decide what a balancer does with each packet of a caller."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from .admission import (
     Openings,
@@ -23,6 +22,7 @@
     Status,
     TargetState,
 )
+from .placed import NO_OFFERS, Flow, Offers
 from .placement import Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
 from .searching import Counters, Searches, deliver
@@ -43,40 +43,6 @@
 Action = Send | Reset
 
 
-@dataclass(frozen=True, slots=True)
-class Offers:
-    """Hold who was offered a new flow, and who refused it for its load alone."""
-
-    tried: frozenset[str] = frozenset()
-    corrected: frozenset[str] = frozenset()
-
-    def add(self, address: str, reason: int) -> "Offers":
-        """Return the offers with one more refusal."""
-        corrected = self.corrected
-        if reason == Reason.FULL:
-            corrected |= {address}
-        return Offers(self.tried | {address}, corrected)
-
-
-NO_OFFERS = Offers()
-
-
-@dataclass(slots=True)
-class Flow:
-    """Remember where a flow was placed; times are in seconds.
-
-    ``began`` is when the caller sent its opening packet first.
-    """
-
-    address: str
-    service: str
-    sequence: int
-    opening: bool
-    seen_at: float
-    began: float
-    offers: Offers = NO_OFFERS
-
-
 class Balancer:
     """Own the flows and targets that one balancer knows."""
 
