Tell the incarnations of a target apart by name and start; refuse other writers' words

Cause: an agent knew a target by its name alone. A target that starts again under its name counts its heartbeats anew, so each was taken for a late one until the count had passed the former; its dead flows were answered HELD; a name that had deregistered was ignored for ever. A heartbeat with any state but "draining" counted as open, and one of another service, or with fields missing, was taken.

Change: name and start are the identity. A later start ends the former incarnation's flows, requests, measured times and failing share; an earlier one is late and changes nothing; starts are compared within one name only. Flows that opened after the former's last heartbeat may be the new one's: its target is asked, they are not reset.

Ruled out: dropping all flows at a new start. A target takes flows before its first heartbeat arrives; the test of that failed with it.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -7,8 +7,9 @@
 from gevent.event import Event
 
 from ...coordination.forwarding.addresses import unpack_addresses
-from ...coordination.forwarding.agent import Action, Agent, Announcement
+from ...coordination.forwarding.agent import Action, Agent
 from ...coordination.forwarding.gathering import Gatherings
+from ...coordination.forwarding.incarnations import Announcement, Word
 from ...coordination.forwarding.messages import (
     Ask,
     Deliver,
@@ -76,6 +77,8 @@
             self.service.observe,
         )
         self.unreadable = 0
+        # Heartbeats and last words that were refused.
+        self.refused_words = 0
         self._codec = codec
         self._inner = inner
         self._list_balancers = list_balancers
@@ -136,16 +139,24 @@
         """Tell one balancer of the target."""
         self._inner.send(peer, self.agent.report(read_clock()))
 
-    def announce(self, found: Announcement) -> None:
+    def announce(self, found: Announcement) -> Word:
         """Take a heartbeat of the target; balancers hear of a change at once."""
-        if self.agent.announce(found, read_clock()):
+        before = self.agent.state
+        word = self.agent.announce(found, read_clock())
+        if word == Word.SUCCESSOR or self.agent.state != before:
             self.tell_all()
+        return word
 
-    def leave(self, name: str) -> None:
+    def leave(self, name: str, born: int | None) -> None:
         """Take the target's last word."""
-        if self.agent.leave(name):
+        if self.agent.leave(name, born):
             self.tell_all()
 
+    def note_refused(self, name: str, reason: str) -> None:
+        """Count and log a word that was damaged, or not of the target here."""
+        self.refused_words += 1
+        self.log.tell_event("word_refused", target=name, reason=reason)
+
     def has_lost_target(self) -> bool:
         """Tell whether the target has gone for good: it said so, or was long silent."""
         return self.agent.state == TargetState.GONE
@@ -165,7 +176,9 @@
 
     def list_samples(self) -> Iterator[Sample]:
         """Yield the samples of the metrics page."""
-        return list_agent_samples(self.agent, self.log, self.service)
+        return list_agent_samples(
+            self.agent, self.log, self.service, self.refused_words
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
--- a/ibisshunt/components/forwarding/samples.py
+++ b/ibisshunt/components/forwarding/samples.py
@@ -40,7 +40,7 @@
 
 
 def list_agent_samples(
-    agent: Agent, log: DecisionLog, service: LatencyHistogram
+    agent: Agent, log: DecisionLog, service: LatencyHistogram, refused_words: int
 ) -> Iterator[Sample]:
     """Yield what an agent counted, and how long its target took to answer."""
     yield Sample("ibisshunt_held_flows", GAUGE, {}, len(agent.flows))
@@ -51,5 +51,6 @@
     yield Sample("ibisshunt_packets_sent_back_total", COUNTER, {}, agent.returned)
     yield Sample("ibisshunt_target_state", GAUGE, {}, int(agent.state))
     yield Sample("ibisshunt_configuration_version", GAUGE, {}, agent.routes.version)
+    yield Sample("ibisshunt_refused_words_total", COUNTER, {}, refused_words)
     yield Sample("ibisshunt_lines_left_out_total", COUNTER, {}, log.left_out)
     yield from service.list_samples()
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -1,9 +1,9 @@
 """Decide what an agent does with packets to and from its target."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from .held import HeldFlow
+from .incarnations import UNHEARD_TARGET, Announcement, Incarnations, Word
 from .messages import (
     Answer,
     Ask,
@@ -44,18 +44,6 @@
 Action = Send | ToTarget | ToCaller
 
 
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """Hold a target's heartbeat; ``warm_left`` is in milliseconds."""
-
-    name: str
-    service: str
-    slots: int
-    draining: bool
-    warm_left: int
-    number: int
-
-
 class Agent:
     """Own what one agent knows of its target and the target's flows."""
 
@@ -81,9 +69,8 @@
         self._tell_event = tell
         self._number = 0
         self._heartbeat = heartbeat_seconds
-        self._announced: Announcement | None = None
+        self._incarnations = Incarnations()
         self._announced_at = now
-        self._former: set[str] = set()
         self._opening: dict[bytes, float] = {}
         self._probed: dict[bytes, tuple[float, str]] = {}
         self._line = WaitingLine()
@@ -95,23 +82,24 @@
 
     # What the target says of itself.
 
-    def announce(self, found: Announcement, now: float) -> bool:
-        """Take a heartbeat; return whether the target's state changed."""
-        known = self._announced
-        if found.name in self._former:
-            return False
-        if known is not None and known.name == found.name:
-            if found.number < known.number:
-                return False
-        elif known is not None:
-            self._replace(known, now)
-        elif found.number <= 1:
+    def announce(self, found: Announcement, now: float) -> Word:
+        """Take a heartbeat; return what it is: LATE and UNCLEAR change nothing."""
+        word = self._incarnations.classify(found)
+        if word in (Word.LATE, Word.UNCLEAR):
+            return word
+        if word == Word.SUCCESSOR:
+            self._replace(now)
+        elif word == Word.FIRST and found.number <= 1:
             # The target started after this agent: it has seen each of its flows.
             self._knows_all_at = now
-        self._announced = found
+        self._incarnations.take(found)
         self._announced_at = now
         self.requests.slots = max(1, found.slots)
         self._warm_at = now + found.warm_left / 1000
+        self._change_state(found)
+        return word
+
+    def _change_state(self, found: Announcement) -> None:
         before = self.state
         self.state = TargetState.DRAINING if found.draining else TargetState.OPEN
         if before != self.state:
@@ -123,12 +111,10 @@
                 state=self.state.name,
                 number=found.number,
             )
-        return before != self.state
 
-    def leave(self, name: str) -> bool:
+    def leave(self, name: str, born: int | None = None) -> bool:
         """Take a target's last word; return whether it is the present one's."""
-        self._former.add(name)
-        if self._announced is None or self._announced.name != name:
+        if not self._incarnations.end(name, born):
             return False
         self.state = TargetState.GONE
         self._tell_event("target_left", target=name, flows=len(self.flows))
@@ -152,7 +138,7 @@
     def report(self, now: float) -> Status:
         """Return the next status for the balancers."""
         self._number += 1
-        found = self._announced
+        found = self._incarnations.present
         return Status(
             self.start,
             self._number,
@@ -165,8 +151,14 @@
             max(0, int(1000 * (self._warm_at - now))),
             self.routes.version,
             round(100 * self.requests.estimate_failing(now)),
+            found.make_tag() if found else UNHEARD_TARGET,
         )
 
+    @property
+    def present(self) -> Announcement | None:
+        """Return the last heartbeat of the present incarnation of the target."""
+        return self._incarnations.present
+
     def _find_state(self, now: float) -> TargetState:
         """Return what balancers are told of the target."""
         is_heard = self.state in (TargetState.OPEN, TargetState.DRAINING)
@@ -286,9 +278,9 @@
             return Answer.NOT_HELD
         flow = self.flows.get(message.key)
         if flow is not None and flow.first is not None:
-            return (
-                Answer.HELD if flow.fits(message.acknowledgement) else Answer.NOT_HELD
-            )
+            if not flow.fits(message.acknowledgement):
+                return Answer.NOT_HELD
+            return Answer.MAYBE if flow.is_unsure else Answer.HELD
         if flow is not None and flow.is_answered:
             return Answer.HELD
         if self.knows_all(now):
@@ -371,11 +363,30 @@
         route = self.routes.find(key[6:])
         return UNANSWERED_SECONDS if route is None else route.timeout / 1000
 
-    def _replace(self, known: Announcement, now: float) -> None:
-        """Forget the flows of a target whose place another one took."""
-        self._former.add(known.name)
-        self._tell_event("target_replaced", target=known.name, flows=len(self.flows))
+    def _replace(self, now: float) -> None:
+        """Forget the flows of an incarnation whose place another one took.
+
+        Flows that opened after its last heartbeat may be the new one's, which took them
+        before its own first heartbeat: forgotten, they would be reset at once, though
+        they are open. Its target tells of them.
+        """
+        former = self._incarnations.present
+        unsure = {
+            key: flow
+            for key, flow in self.flows.items()
+            if flow.opened_at > self._announced_at
+        }
+        self._tell_event(
+            "target_replaced",
+            target=former.name,
+            flows=len(self.flows),
+            unsure=len(unsure),
+        )
         self._drop_flows()
+        self.requests.forget_target()
+        for flow in unsure.values():
+            flow.is_unsure = True
+        self.flows.update(unsure)
         self._knows_all_at = now
 
     def _drop_flows(self) -> None:
--- a/ibisshunt/coordination/forwarding/held.py
+++ b/ibisshunt/coordination/forwarding/held.py
@@ -11,7 +11,9 @@
 
     ``first`` and ``last`` are the ends of the numbers that the target has sent, None
     when its opening was not seen; ``is_answered`` tells that the target has sent
-    anything in it, and so holds it.
+    anything in it, and so holds it. ``opened_at`` is when the target took its opening.
+    ``is_unsure`` tells that the target may have started anew since, and knows nothing
+    of the flow then.
     """
 
     first: int | None
@@ -21,6 +23,8 @@
     caller_ended: bool = False
     target_ended: bool = False
     ended_at: float = 0.0
+    opened_at: float = float("-inf")
+    is_unsure: bool = False
 
     def begin_again(self, now: float) -> None:
         """Take another opening packet of the caller, a copy or one on a used port.
@@ -35,7 +39,9 @@
         if segment.opens:
             self.first = self.last = segment.sequence
             self.ended_at = 0.0
+            self.opened_at = now
         self.seen_at = now
+        self.is_unsure = False
         self.is_answered = not segment.resets
         end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
         if is_later(end, self.last):
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -61,7 +61,8 @@
     the requests at work or waiting and the flows that have just opened. ``service_us``
     is the mean time of service in microseconds, 0 when unknown; ``warm_left`` is in
     milliseconds, counted from the sending; ``version`` is the agent's configuration.
-    ``failing`` is which share of the last requests failed, in percent.
+    ``failing`` is which share of the last requests failed, in percent. ``incarnation``
+    is the tag of the target's incarnation, 0 while the agent has not heard it.
     """
 
     start: int
@@ -75,6 +76,7 @@
     warm_left: int
     version: int
     failing: int = 0
+    incarnation: int = 0
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -186,6 +186,11 @@
         self._exchanges.pop(key, None)
         self._active.pop(key, None)
 
+    def forget_target(self) -> None:
+        """Forget how fast and how well the target answered: another one is there."""
+        self.mean_seconds = 0.0
+        self._failing = 0.0
+
     def clear(self) -> None:
         """Forget all flows."""
         self._exchanges.clear()
--- a/ibisshunt/coordination/forwarding/targets.py
+++ b/ibisshunt/coordination/forwarding/targets.py
@@ -101,9 +101,9 @@
         self._by_service = found
 
 
-def _identify(status: Status) -> tuple[int, int, str]:
+def _identify(status: Status) -> tuple[int, int, str, int]:
     """Return what does not change while an agent and its target just go on."""
-    return status.start, status.state, status.service
+    return status.start, status.state, status.service, status.incarnation
 
 
 def _is_older(status: Status, known: Target, now: float) -> bool:
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass, field, replace
 
 from ibisshunt.coordination.forwarding.addresses import unpack_addresses
-from ibisshunt.coordination.forwarding.agent import Agent, Announcement
+from ibisshunt.coordination.forwarding.agent import Agent
 from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.gathering import Gatherings
+from ibisshunt.coordination.forwarding.incarnations import Announcement
 from ibisshunt.coordination.forwarding.messages import (
     Ask,
     Deliver,
@@ -140,7 +141,7 @@
     def beat(self, address, number, name=None, draining=False, slots=1):
         """Let a target speak to its agent."""
         agent = self.agents[address]
-        name = name or agent._announced.name
+        name = name or agent.present.name
         found = Announcement(name, agent.service, slots, draining, 0, number)
         agent.announce(found, self.now)
 
@@ -168,8 +169,8 @@
                 self.tell_at = self.now + 0.4
                 for address in self.agents:
                     agent = self.agents[address]
-                    if agent._announced is not None and address not in self.silent:
-                        agent.announce(agent._announced, self.now)
+                    if agent.present is not None and address not in self.silent:
+                        agent.announce(agent.present, self.now)
                 self.tell_all()
             for gatherings in self.gatherings.values():
                 self._gather(gatherings.sweep(self.now))
