Ask for the open flows of a target that has ended, and reset them before they are used

Cause: an idle flow of a dead target was reset when its caller used it. A request that must not be sent twice is lost then: its caller may not try again on another flow.

No packet is needed for it, so nobody is probed: where agents cannot tell, the flow is left alone. After a last word half a second is waited, in which the target may still run.

Ruled out: resetting without asking (another target may hold the flow, when copies of its opening packet went to two); at a drain (the flow is open).

--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -77,7 +77,8 @@
         """Go on with searches until killed."""
         while True:
             self.balancer.peers = self.list_peers()
-            busy = bool(self.balancer.searches or self.balancer.openings)
+            balancer = self.balancer
+            busy = bool(balancer.searches or balancer.openings or balancer.doubtful)
             gevent.sleep(SWEEP_SECONDS if busy else IDLE_SWEEP_SECONDS)
             self._carry_out(self.balancer.sweep(read_clock()))
 
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -22,7 +22,7 @@
     Status,
     TargetState,
 )
-from .placed import NO_OFFERS, Flow, Offers
+from .placed import NO_OFFERS, DoubtfulFlows, Flow, Offers, recall
 from .placement import Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
 from .searching import Counters, Searches, deliver
@@ -37,6 +37,14 @@
 # each costs the caller a round trip of some milliseconds; more than this are only
 # full together, when a refusal serves the caller better than another try.
 MAX_OFFERS = 6
+# How many flows of a target that has ended are asked for at each sweep. Unit: flows.
+# Source: 50 sweeps a second while any are asked for, so 250 flows a second; each costs
+# a question and an answer of some 100 bytes on the balancer's link.
+DOUBTS_PER_SWEEP = 5
+# How long after its last word the flows of a target are left alone. Unit: seconds.
+# Source: it ends after that word has been answered, and a flow must not be reset while
+# its target runs; a process ends within some tens of milliseconds.
+LEAVING_SECONDS = 0.5
 # Flows in one message between balancers. Source: what fits a packet of usual size.
 FLOWS_PER_MESSAGE = 40
 
@@ -60,6 +68,7 @@
         # Balancers of the same failure domain, which routers fall back on.
         self.peers: tuple[str, ...] = ()
         self.flows: dict[bytes, Flow] = {}
+        self.doubtful = DoubtfulFlows()
         self.counters = Counters()
         self.searches = Searches(
             self.known, self.counters, draw, tell, self._note_found, now
@@ -92,7 +101,11 @@
 
     def learn(self, address: str, status: Status, now: float) -> bool:
         """Take an agent's word; return whether it is new, has restarted or changed."""
+        target = self.targets.get(address)
+        has_ended = target is not None and target.has_ended_by(status)
         changed = self.known.learn(address, status, now)
+        if changed and has_ended:
+            self._doubt(address, status, now)
         if changed:
             # It may be back from a restart: what is looked for need not wait until
             # silent agents are asked again.
@@ -102,6 +115,7 @@
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
         actions = self.open_again(now)
+        actions += self._ask_doubtful(now)
         actions += self.searches.go_on_all(now)
         if now >= self._sweep_at:
             self._sweep_at = now + 1.0
@@ -360,6 +374,7 @@
     def _go_along(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
         flow.seen_at = now
         flow.opening = False
+        flow.acknowledgement = segment.acknowledgement
         target = self.targets.get(flow.address)
         if target is not None and not target.is_lost(now):
             return [deliver(flow.address, flow.service, segment)]
@@ -375,6 +390,38 @@
         del self.flows[segment.key]
         return self._search(segment, frozenset((flow.address,)), now)
 
+    def _doubt(self, address: str, status: Status, now: float) -> None:
+        """Doubt the open flows of a target that has ended, or has started anew.
+
+        A caller that keeps an idle flow there hears of its end by the silence after its
+        next request; one that must not be sent twice is lost then. Told before, it
+        opens a new flow for it.
+        """
+        keys = (
+            key
+            for key, flow in self.flows.items()
+            if flow.address == address and not flow.opening
+        )
+        is_leaving = status.state == TargetState.GONE
+        self.doubtful.add(keys, now + LEAVING_SECONDS if is_leaving else now)
+
+    def _ask_doubtful(self, now: float) -> list[Action]:
+        """Ask who holds the next flows whose target has ended; nobody: they are reset.
+
+        The target that has started anew may hold one of them, and so may another one
+        whose answer to the opening packet the caller took.
+        """
+        actions: list[Action] = []
+        for key in self.doubtful.take(DOUBTS_PER_SWEEP, now):
+            flow = self.flows.get(key)
+            if flow is None or flow.acknowledgement is None:
+                continue
+            del self.flows[key]
+            holders = self._list_holders(key)
+            found = recall(key, flow.acknowledgement)
+            actions += self.searches.begin(found, holders, (), frozenset(), now)
+        return actions
+
     def _search(
         self, segment: Segment, excluded: frozenset[str], now: float
     ) -> list[Action]:
--- a/ibisshunt/coordination/forwarding/placed.py
+++ b/ibisshunt/coordination/forwarding/placed.py
@@ -1,8 +1,11 @@
 """Remember, at a balancer, where a flow was placed and who refused it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import islice
 
 from .messages import Reason
+from .segment import Segment
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +30,8 @@
 class Flow:
     """Remember where a flow was placed; times are in seconds.
 
-    ``began`` is when the caller sent its opening packet first.
+    ``began`` is when the caller sent its opening packet first, ``acknowledgement`` what
+    it acknowledged last here, None when this balancer has not seen it.
     """
 
     address: str
@@ -37,3 +41,32 @@
     seen_at: float
     began: float
     offers: Offers = NO_OFFERS
+    acknowledgement: int | None = None
+
+
+class DoubtfulFlows:
+    """Own the keys of flows whose target may have ended; times are in seconds."""
+
+    def __init__(self) -> None:
+        # When to ask who holds a flow, by key.
+        self._due_at: dict[bytes, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._due_at)
+
+    def add(self, keys: Iterable[bytes], due_at: float) -> None:
+        """Doubt more flows, and ask for them from ``due_at`` on."""
+        self._due_at.update(dict.fromkeys(keys, due_at))
+
+    def take(self, most: int, now: float) -> list[bytes]:
+        """Return flows to ask for now, ``most`` at most."""
+        due = (key for key, due_at in self._due_at.items() if now >= due_at)
+        taken = list(islice(due, most))
+        for key in taken:
+            del self._due_at[key]
+        return taken
+
+
+def recall(key: bytes, acknowledgement: int) -> Segment:
+    """Return what is known of a flow without a packet of it, enough to reset it."""
+    return Segment(key, b"", b"", 0, acknowledgement, acknowledges=True)
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -50,7 +50,7 @@
     ``load`` is how many requests were there at ``load_at``. Words come each 0.1-0.4 s,
     in which a target serves many requests: the load is taken to drain meanwhile, except
     ``corrected``, when the agent refused a flow and tells on its own when a slot is
-    free.
+    free. ``incarnation`` is the tag of the target's last known incarnation.
     """
 
     address: str
@@ -61,6 +61,7 @@
     load_at: float = 0.0
     corrected: bool = False
     placed: list[float] = field(default_factory=list)
+    incarnation: int = 0
 
     def take(self, status: Status, now: float) -> None:
         """Take a newer word; flows placed just now are not in it yet."""
@@ -70,6 +71,17 @@
         self.warm_at = now + status.warm_left / 1000
         self.load, self.load_at = status.active + len(self.placed), now
         self.corrected = False
+        self.incarnation = status.incarnation or self.incarnation
+
+    def has_ended_by(self, status: Status) -> bool:
+        """Tell whether a newer word says that this incarnation of the target is over.
+
+        An agent that has not heard its target since its own start does not know.
+        """
+        if status.state == TargetState.GONE:
+            return True
+        known = self.incarnation
+        return bool(known and status.incarnation and status.incarnation != known)
 
     def correct(self, load: int, now: float) -> None:
         """Take the load that the agent told when it refused a flow."""
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -35,6 +35,8 @@
 class Search:
     """Hold the packets of a flow that is looked for, and what agents answered.
 
+    A flow that is only doubted has no packet: agents are asked, nobody is probed.
+
     ``tags`` gives the service tag of each agent that is asked, by address; ``relayed``
     who was asked in each round; ``unsettled`` are those that have not answered, or had
     not heard their target. ``due_at`` is when it has to be looked at again though
@@ -132,7 +134,11 @@
         flow: strays at many targets while the right one is restarting would look like
         a flow that is sent astray.
         """
-        if self.probes >= MAX_PROBES or now < self.probed_at + patience:
+        if (
+            not self.has_packet
+            or self.probes >= MAX_PROBES
+            or now < self.probed_at + patience
+        ):
             return {}
         found = self.group(self._list_maybe())
         if found:
@@ -165,6 +171,11 @@
         self.rounds += 1
         return tuple(self.unsettled)
 
+    @property
+    def has_packet(self) -> bool:
+        """Tell whether a packet of the flow is there to probe targets with."""
+        return bool(self.last.raw)
+
     @property
     def key(self) -> bytes:
         """Return the key of the flow."""
@@ -213,4 +224,5 @@
         if target.address not in excluded
     }
     answers = dict.fromkeys(excluded, int(Answer.NOT_HELD))
-    return Search(segment, tags, now, [segment], answers)
+    held = [segment] if segment.raw else []
+    return Search(segment, tags, now, held, answers)
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -165,7 +165,8 @@
         if not waits and (probed := search.start_probe(now, PROBE_SECONDS)):
             return self._probe(search, probed, now)
         if waits or search.has_maybe():
-            if now >= search.started_at + SEARCH_SECONDS:
+            cannot_probe = not waits and not search.has_packet
+            if cannot_probe or now >= search.started_at + SEARCH_SECONDS:
                 del self._open[key]
                 silent = search.silent()
                 self._tell_event(
@@ -188,7 +189,7 @@
         agent knows: each would answer maybe and be told to probe, which is two
         messages more an agent and flow. As before a later probe, none may be silent.
         """
-        is_fresh = search.rounds == 1 and now < self._young_until
+        is_fresh = search.rounds == 1 and search.has_packet and now < self._young_until
         if is_fresh and not self._known.is_learning(now) and not self._misses_any(now):
             search.is_asked_by_probe = True
             return self._probe(search, search.group(asked), now)
