Keep balancers' open flows on control's disk, and reset those that ended with a power loss

Cause: after a fleet lost power, its callers kept flows that had ended. Nobody knew of an idle one: its caller heard of it after its next request, and a request that must not be sent twice was lost by that.

Change: a balancer notes each flow that is a quarter of a second old (key, the caller's acknowledgement, target, the target's incarnation, 24 bytes) on two control hosts, which keep 60 to 90 s of them on disk. After a start it asks for its own; an agent's status tells whether the target is the same: then the flow is known again without a search, else its caller gets a reset, 1,000 a second at most. An agent no longer imports what a balancer decides (a seventh of its imports).

Ruled out: flow lists between neighbours (all lose power together); asking all agents first (they answer maybe for 60 s, since targets were up before them).

--- a/ibisshunt/components/consensus/__init__.py
+++ b/ibisshunt/components/consensus/__init__.py
@@ -30,7 +30,8 @@
 from ...exceptions import Fault, StorageError
 from ...helpers.threads import run_in_thread
 from ...model.settings import ControlSettings
-from ..storage import DiskFiles, Recovered, Store
+from ..storage.files import DiskFiles
+from ..storage.store import Recovered, Store
 from .driver import StateMachine
 from .replicated_log import Options, ReplicatedLog
 from .report import dump_log, list_samples
--- a/ibisshunt/components/consensus/driver.py
+++ b/ibisshunt/components/consensus/driver.py
@@ -30,7 +30,7 @@
 from ...coordination.consensus.state import Event, Refused
 from ...exceptions import Fault
 from ...helpers.logging import log_event
-from ..storage import Batch, Recovered, Store
+from ..storage.store import Batch, Recovered, Store
 
 SNAPSHOT_ENTRIES = 1_000
 SNAPSHOT_BYTES = 16 * 1024 * 1024
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -28,7 +28,7 @@
 from ...model.address import Address, parse_address
 from ...model.settings import ControlSettings
 from ...protocol.caller import Caller
-from ..storage import Recovered, Store
+from ..storage.store import Recovered, Store
 from .driver import Driver, StateMachine
 from .forwarding import Forwarder
 from .joining import Joiner
--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -42,6 +42,8 @@
         list_control: Callable[[], tuple[str, ...]],
         files: DirectoryFiles,
     ) -> None:
+        # Replaced once the log is there, which takes longer to load than this.
+        self.list_control = list_control
         known = files.nodes.load()
         self.registry = Registry(read_clock(), known)
         self._files = files
@@ -50,7 +52,6 @@
         self._saved_version = self._offered.version
         self._inner = inner
         self._store = store
-        self._list_control = list_control
         inner.handle(Hello, self._take_hello)
         inner.handle(Leave, self._take_leave)
         inner.handle(Fetch, self._take_fetch)
@@ -86,6 +87,17 @@
         for address in self.registry.list_behind(version):
             self._inner.send(address, Notice(version))
 
+    def greet(self) -> None:
+        """Tell the nodes of the former run what is offered, without being asked.
+
+        They ask each 0.1 s while they know no control host; after a power loss of the
+        whole fleet nothing is served until they have a configuration.
+        """
+        version = self._find_version()
+        if version:
+            for address in self.registry.nodes:
+                self._inner.send(address, Notice(version))
+
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
         return {
@@ -95,7 +107,7 @@
 
     def _take_hello(self, peer: str, hello: Hello) -> None:
         is_new = peer not in self.registry.nodes
-        control = self._list_control()
+        control = self.list_control()
         version = self._find_version()
         welcome = self.registry.take(peer, hello, version, control, read_clock())
         self._inner.send(peer, welcome)
--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -18,7 +18,10 @@
     Deliver,
     Gathered,
     Known,
+    Noted,
     OnBehalf,
+    Recall,
+    Recalled,
     Relay,
     Returned,
     Seek,
@@ -46,6 +49,9 @@
     | Notice
     | Fetch
     | Piece
+    | Noted
+    | Recall
+    | Recalled
 )
 Handler = Callable[[str, Any], None]
 
--- a/ibisshunt/components/directory/known.py
+++ b/ibisshunt/components/directory/known.py
@@ -10,7 +10,7 @@
 from ...exceptions import StorageError
 from ...helpers.logging import log_event, warn_event
 from ...helpers.threads import run_in_thread
-from ..storage import DiskFiles, Files, write_whole
+from ..storage.files import DiskFiles, Files, write_whole
 from ..storage.frames import make_frame, scan_frames
 
 FOLDER_NAME = "directory"
@@ -78,9 +78,11 @@
     ``nodes`` are the nodes: without them a balancer that starts with the fleet waits
     longer before it takes a flow for ended. ``version`` is the newest configuration
     that was in force: without it nodes serve nothing until a leader is elected.
+    ``files`` is where others keep files of the same kind.
     """
 
     def __init__(self, files: Files, run: Run) -> None:
+        self.files = files
         nodes = tuple[KnownNode, ...]
         self.nodes = SavedValue(files, run, NODES_NAME, nodes, ())
         self.version = SavedValue(files, run, VERSION_NAME, PackedVersion, NO_VERSION)
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -93,7 +93,15 @@
 
     def is_in_touch(self) -> bool:
         """Tell whether a control host was heard lately."""
-        return self.contacts.count_heard(read_clock(), IN_TOUCH_SECONDS) > 0
+        return bool(self.list_heard())
+
+    def list_heard(self) -> list[str]:
+        """Return the control hosts that were heard lately."""
+        return self.contacts.list_heard(read_clock(), IN_TOUCH_SECONDS)
+
+    def list_control(self) -> list[str]:
+        """Return all control hosts that are known."""
+        return self.contacts.list_control(read_clock())
 
     def dump(self) -> dict[str, Any]:
         """Return the state for a dump."""
@@ -133,6 +141,9 @@
         self.offer(peer, welcome.version)
 
     def _take_notice(self, peer: str, notice: Notice) -> None:
+        if not self.is_in_touch():
+            # A control host that has just started: it may tell who else is there.
+            self._introduce(read_clock())
         self.offer(peer, notice.version)
 
     def _take_introduce(self, peer: str, message: Introduce) -> None:
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -30,7 +30,7 @@
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
-from .samples import list_agent_samples
+from .agent_samples import list_agent_samples
 
 # How often balancers hear of the target. Unit: seconds. Source: loads change with
 # each flow; a target that is silent for three of these is left out.
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -25,7 +25,7 @@
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
-from .samples import list_balancer_samples
+from .balancer_samples import list_balancer_samples
 
 # How often searches go on and old flows are forgotten. Unit: seconds. Source: below
 # the interval at which a search is asked again.
@@ -77,8 +77,7 @@
         """Go on with searches until killed."""
         while True:
             self.balancer.peers = self.list_peers()
-            balancer = self.balancer
-            busy = bool(balancer.searches or balancer.openings or balancer.doubtful)
+            busy = self.balancer.is_busy()
             gevent.sleep(SWEEP_SECONDS if busy else IDLE_SWEEP_SECONDS)
             self._carry_out(self.balancer.sweep(read_clock()))
 
--- /dev/null
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -0,0 +1,88 @@
+"""Keep the flows of a balancer on control hosts, and fetch them after a start."""
+
+from collections.abc import Callable
+from zlib import crc32
+
+import gevent
+
+from ...coordination.forwarding.balancer import Balancer
+from ...coordination.forwarding.messages import Noted, Recalled
+from ...coordination.forwarding.recollection import Recollection
+from ...helpers.clock import read_clock
+from ...helpers.logging import log_event
+from ..directory.inner import InnerSocket
+
+# How often entries are sent. Unit: seconds. Source: flows that opened since are not
+# known after an outage; a message of 48 entries has 1.2 kB.
+SEND_SECONDS = 0.25
+# How often the former run's flows are asked for. Unit: seconds. Source: each control
+# host that has just come back is asked within some round trips.
+ASK_SECONDS = 0.02
+# Control hosts that keep an entry. Source: one may lose its disk with all power.
+COPIES = 2
+
+
+class CheckpointTask:
+    """Own the exchange of one balancer's flow entries with control hosts.
+
+    ``list_control`` returns the control hosts to ask, ``list_heard`` those that were
+    heard lately.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        balancer: Balancer,
+        inner: InnerSocket,
+        list_control: Callable[[], list[str]],
+        list_heard: Callable[[], list[str]],
+    ) -> None:
+        self._address = address
+        self._balancer = balancer
+        self._inner = inner
+        self._list_control = list_control
+        self._list_heard = list_heard
+        self._recollection = Recollection(read_clock())
+        inner.handle(Recalled, self._take_recalled)
+
+    def run_sending(self) -> None:
+        """Send entries until killed."""
+        while True:
+            gevent.sleep(SEND_SECONDS)
+            self.send()
+
+    def send(self) -> None:
+        """Send all entries that are not sent yet."""
+        self._balancer.note_flows(read_clock())
+        keepers = self._choose_keepers()
+        while keepers and (entries := self._balancer.checkpoint.take()):
+            self._inner.send_all(keepers, Noted(entries))
+
+    def run_asking(self) -> None:
+        """Ask for the flows of the former run until that is over."""
+        while not self._recollection.is_over(read_clock()):
+            self.ask()
+            gevent.sleep(ASK_SECONDS)
+
+    def ask(self) -> None:
+        """Ask the control hosts that have not told everything."""
+        asked = self._recollection.ask(self._list_control(), read_clock())
+        for peer, question in asked:
+            self._inner.send(peer, question)
+
+    def _choose_keepers(self) -> list[str]:
+        """Return control hosts, others for each balancer, to share the work."""
+        heard = self._list_heard()
+        own = self._address.encode()
+        heard.sort(key=lambda control: crc32(own + control.encode()))
+        return heard[:COPIES]
+
+    def _take_recalled(self, peer: str, message: Recalled) -> None:
+        now = read_clock()
+        entries = self._recollection.take(peer, message, now)
+        if not entries:
+            return
+        self._balancer.take_former(entries, now)
+        if message.first + len(entries) >= message.total:
+            log_event("flows_recalled", peer=peer, flows=message.total)
+        self.ask()
--- a/ibisshunt/components/storage/__init__.py
+++ b/ibisshunt/components/storage/__init__.py
@@ -1,14 +1,5 @@
-"""Keep the state of one host on disk: write-ahead log, snapshots, identity."""
+"""Keep the state of one host on disk: write-ahead log, snapshots, identity.
 
-from .files import DiskFiles, Files, write_whole
-from .store import Batch, Identity, Recovered, Store
-
-__all__ = [
-    "Batch",
-    "DiskFiles",
-    "Files",
-    "Identity",
-    "Recovered",
-    "Store",
-    "write_whole",
-]
+``files`` has the files of one folder, ``store`` what the replicated log keeps there.
+They are imported apart: a control host reads its files before it loads the log.
+"""
--- a/ibisshunt/components/storage/files.py
+++ b/ibisshunt/components/storage/files.py
@@ -108,8 +108,10 @@
             raise StorageError(fault) from error
 
     def list(self) -> list[str]:
-        """Return the names of all files but the lock."""
-        return sorted(name for name in os.listdir(self._folder) if name != LOCK_NAME)
+        """Return the names of all files but the lock; folders belong to others."""
+        with os.scandir(self._folder) as entries:
+            names = [entry.name for entry in entries if entry.is_file()]
+        return sorted(name for name in names if name != LOCK_NAME)
 
     def read(self, name: str) -> bytes:
         """Return the whole content."""
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -100,13 +100,14 @@
         return NotAccepted("put configuration", "", reason)
 
 
-def setup(kernel: Kernel, settings: NodeSettings) -> VersionService:
-    """Start the replicated log; register it as "versions" and return it.
+def setup(
+    kernel: Kernel, settings: NodeSettings, store: VersionStore
+) -> VersionService:
+    """Start the replicated log that drives ``store``; register it as "versions".
 
     Hosts go by their addresses: a replaced host comes with a new one, and the log
     itself tells who is a member.
     """
-    store = VersionStore()
     machine = StateMachine(store.apply, store.take_snapshot, store.restore)
     port = settings.inner_calls.port
     peers = {seed: Address(seed, port) for seed in settings.seeds}
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -80,9 +80,9 @@
                 named |= nodes
         return named
 
-    def count_heard(self, now: float, within: float) -> int:
-        """Count the control hosts heard in the last ``within`` seconds."""
-        return sum(now - at < within for at in self._heard.values())
+    def list_heard(self, now: float, within: float) -> list[str]:
+        """Return the control hosts heard in the last ``within`` seconds."""
+        return [address for address, at in self._heard.items() if now - at < within]
 
     def sweep(self, now: float) -> None:
         """Forget nodes that were not listed for long."""
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from .held import HeldFlow
-from .incarnations import UNHEARD_TARGET, Announcement, Incarnations, Word
+from .incarnations import Announcement, Incarnations, Word
 from .messages import (
     Answer,
     Ask,
@@ -151,7 +151,7 @@
             max(0, int(1000 * (self._warm_at - now))),
             self.routes.version,
             round(100 * self.requests.estimate_failing(now)),
-            found.make_tag() if found else UNHEARD_TARGET,
+            self._incarnations.tag,
         )
 
     @property
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/archive.py
@@ -0,0 +1,104 @@
+"""Keep, on a control host, the open flows that balancers note for their next run."""
+
+from collections import deque
+from collections.abc import Iterable
+from socket import inet_aton, inet_ntoa
+
+from .checkpoint import (
+    ENDED,
+    ENTRIES_PER_MESSAGE,
+    FlowEntry,
+    pack_entries,
+    unpack_entries,
+)
+from .messages import Recalled
+
+# How long entries go into one generation, which is one file. Unit: seconds. Source: a
+# flow lives for 60 s, so that three of these hold each open flow.
+GENERATION_SECONDS = 30.0
+GENERATIONS = 3
+# Messages for one question. Source: as for the pieces of a configuration, 10 kB.
+WINDOW = 8
+# Flows in memory, of all balancers. Source: 30 MB of the 128 MB of a control host.
+MAX_ENTRIES = 200_000
+_ADDRESS_BYTES = 4
+
+
+class FlowArchive:
+    """Own the entries of all balancers, by generation; times are in seconds.
+
+    ``former`` holds the batches of each generation of the former run, oldest first.
+    """
+
+    def __init__(
+        self, now: float = 0.0, former: Iterable[Iterable[bytes]] = ()
+    ) -> None:
+        self._generations: deque[dict[str, dict[bytes, FlowEntry]]] = deque(
+            maxlen=GENERATIONS
+        )
+        for batches in former:
+            self._generations.append({})
+            for batch in batches:
+                self._apply(batch)
+        self._generations.append({})
+        self._rotate_at = now + GENERATION_SECONDS
+        self._unsaved: list[bytes] = []
+        self._recalled: dict[str, list[FlowEntry]] = {}
+
+    def __len__(self) -> int:
+        return sum(
+            len(entries)
+            for generation in self._generations
+            for entries in generation.values()
+        )
+
+    def take(self, balancer: str, entries: bytes) -> None:
+        """Take the entries of a balancer."""
+        if len(self) >= MAX_ENTRIES:
+            return
+        batch = inet_aton(balancer) + entries
+        self._apply(batch)
+        self._unsaved.append(batch)
+
+    def take_unsaved(self) -> list[bytes]:
+        """Return the batches that are not on disk yet."""
+        unsaved, self._unsaved = self._unsaved, []
+        return unsaved
+
+    def rotate(self, now: float) -> bool:
+        """Begin another generation when it is time to; return whether it was."""
+        if now < self._rotate_at:
+            return False
+        self._rotate_at = now + GENERATION_SECONDS
+        self._generations.append({})
+        self._recalled.clear()
+        return True
+
+    def recall(self, balancer: str, first: int) -> list[Recalled]:
+        """Return the messages of one window, from entry ``first`` on."""
+        if first == 0 or balancer not in self._recalled:
+            self._recalled[balancer] = self._list_open(balancer)
+        found = self._recalled[balancer]
+        end = min(len(found), first + WINDOW * ENTRIES_PER_MESSAGE)
+        starts = range(first, end, ENTRIES_PER_MESSAGE)
+        messages = [
+            Recalled(
+                start,
+                len(found),
+                pack_entries(found[start : min(end, start + ENTRIES_PER_MESSAGE)]),
+            )
+            for start in starts
+        ]
+        return messages or [Recalled(first, len(found), b"")]
+
+    def _apply(self, batch: bytes) -> None:
+        balancer = inet_ntoa(batch[:_ADDRESS_BYTES])
+        entries = self._generations[-1].setdefault(balancer, {})
+        for entry in unpack_entries(batch[_ADDRESS_BYTES:]):
+            entries[entry.key] = entry
+
+    def _list_open(self, balancer: str) -> list[FlowEntry]:
+        latest: dict[bytes, FlowEntry] = {}
+        for generation in self._generations:
+            latest.update(generation.get(balancer, {}))
+        return [entry for entry in latest.values() if entry.incarnation != ENDED]
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -9,6 +9,7 @@
     judge_opening,
     limit_requests,
 )
+from .checkpoint import ENDED, Checkpoint, FlowEntry, FormerFlows
 from .messages import (
     Answer,
     Deliver,
@@ -25,6 +26,7 @@
 from .placed import NO_OFFERS, DoubtfulFlows, Flow, Offers, recall
 from .placement import Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
+from .search import WITHOUT_FLOWS
 from .searching import Counters, Searches, deliver
 from .segment import Segment
 from .targets import KnownTargets
@@ -41,6 +43,9 @@
 # Source: 50 sweeps a second while any are asked for, so 250 flows a second; each costs
 # a question and an answer of some 100 bytes on the balancer's link.
 DOUBTS_PER_SWEEP = 5
+# How many flows of the former run are reset at each sweep. Unit: flows. Source: 50
+# sweeps a second while any are left, so 1,000 flows a second; a reset has 31 bytes.
+RESETS_PER_SWEEP = 20
 # How long after its last word the flows of a target are left alone. Unit: seconds.
 # Source: it ends after that word has been answered, and a flow must not be reset while
 # its target runs; a process ends within some tens of milliseconds.
@@ -69,6 +74,8 @@
         self.peers: tuple[str, ...] = ()
         self.flows: dict[bytes, Flow] = {}
         self.doubtful = DoubtfulFlows()
+        self.checkpoint = Checkpoint()
+        self.former = FormerFlows()
         self.counters = Counters()
         self.searches = Searches(
             self.known, self.counters, draw, tell, self._note_found, now
@@ -110,11 +117,13 @@
             # It may be back from a restart: what is looked for need not wait until
             # silent agents are asked again.
             self.searches.add(address, status.service)
+            self._settle_former(address, now)
         return changed
 
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
         actions = self.open_again(now)
+        actions += self._reset_over()
         actions += self._ask_doubtful(now)
         actions += self.searches.go_on_all(now)
         if now >= self._sweep_at:
@@ -122,6 +131,11 @@
             self._forget(now)
         return actions
 
+    def is_busy(self) -> bool:
+        """Tell whether something waits that a sweep would go on with."""
+        waiting = self.searches, self.openings, self.doubtful, self.former.over
+        return any(waiting)
+
     def is_usable(self, now: float) -> bool:
         """Tell whether this balancer could place a flow."""
         return bool(self.routes.version) and any(
@@ -357,6 +371,7 @@
         now: float,
     ) -> None:
         began = self._find_began(segment, now) if opening else now
+        self.checkpoint.watch(segment.key, now)
         if len(self.flows) >= MAX_FLOWS:
             self.flows.pop(next(iter(self.flows)))
         self.flows[segment.key] = Flow(
@@ -375,6 +390,7 @@
         flow.seen_at = now
         flow.opening = False
         flow.acknowledgement = segment.acknowledgement
+        self._follow(segment, flow)
         target = self.targets.get(flow.address)
         if target is not None and not target.is_lost(now):
             return [deliver(flow.address, flow.service, segment)]
@@ -390,6 +406,65 @@
         del self.flows[segment.key]
         return self._search(segment, frozenset((flow.address,)), now)
 
+    def _follow(self, segment: Segment, flow: Flow) -> None:
+        """Note a flow again that was noted before, or its end."""
+        if segment.finishes or segment.resets:
+            self.checkpoint.end(segment.key, flow)
+        elif flow.noted is not None:
+            self._note(segment.key, flow)
+
+    def _note(self, key: bytes, flow: Flow) -> None:
+        target = self.targets.get(flow.address)
+        if target is not None:
+            self.checkpoint.note(key, flow, target.incarnation)
+
+    def note_flows(self, now: float) -> None:
+        """Note the flows that have become old enough, for the next run."""
+        for key in self.checkpoint.take_due(now):
+            flow = self.flows.get(key)
+            if flow is not None and not flow.opening:
+                self._note(key, flow)
+
+    def take_former(self, entries: list[FlowEntry], now: float) -> None:
+        """Take flows of the former run; those whose target has ended will be reset.
+
+        The target that a flow went to says by its incarnation whether it still holds
+        it. Until its agent has heard it, the entry waits.
+        """
+        for entry in entries:
+            self.former.add(entry, now)
+        for address in {entry.address for entry in entries}:
+            self._settle_former(address, now)
+
+    def _settle_former(self, address: str, now: float) -> None:
+        target = self.targets.get(address)
+        if target is None:
+            return
+        has_gone = target.status.state in WITHOUT_FLOWS
+        if not has_gone and not target.status.incarnation:
+            return
+        present = ENDED if has_gone else target.status.incarnation
+        for entry in self.former.settle(address, present):
+            if not self.searches.is_open(entry.key):
+                self._note_flow(entry.key, target, now)
+
+    def _reset_over(self) -> list[Action]:
+        """Reset the next flows of the former run whose target has ended.
+
+        One that is known again is another flow of the same caller and port, or was
+        found where a copy of its opening packet had gone.
+        """
+        actions: list[Action] = []
+        for entry in self.former.take_over(RESETS_PER_SWEEP):
+            if entry.key in self.flows or self.openings.find(entry.key):
+                continue
+            last = self.searches.drop(entry.key)
+            last = last or recall(entry.key, entry.acknowledgement)
+            self.counters.reset += 1
+            self._tell_event("flow_reset", flow=entry.key.hex(), reason="target_ended")
+            actions.append(Reset(last, "target_ended"))
+        return actions
+
     def _doubt(self, address: str, status: Status, now: float) -> None:
         """Doubt the open flows of a target that has ended, or has started anew.
 
@@ -490,6 +565,7 @@
 
     def _forget(self, now: float) -> None:
         self.known.forget(now)
+        self.former.sweep(now)
         idle = [
             key
             for key, flow in self.flows.items()
--- a/ibisshunt/coordination/forwarding/incarnations.py
+++ b/ibisshunt/coordination/forwarding/incarnations.py
@@ -25,10 +25,6 @@
     number: int
     born: int | None = None
 
-    def make_tag(self) -> int:
-        """Return the number that stands for this incarnation between nodes."""
-        return crc32(f"{self.name} {self.born}".encode()) or 1
-
 
 class Word(IntEnum):
     """Tell what a heartbeat is, compared with what was heard before.
@@ -45,10 +41,15 @@
 
 
 class Incarnations:
-    """Own the present incarnation of a target and the names of those that ended."""
+    """Own the present incarnation of a target and the names of those that ended.
+
+    ``tag`` is the number that stands for the present one between nodes. It stays when a
+    target begins to tell its start: flows would else seem to have ended.
+    """
 
     def __init__(self) -> None:
         self.present: Announcement | None = None
+        self.tag = UNHEARD_TARGET
         self._is_over = False
         self._ended: dict[str, int | None] = {}
 
@@ -69,8 +70,11 @@
 
     def take(self, found: Announcement) -> None:
         """Take a heartbeat that is not late; what it succeeds has ended."""
-        if self.classify(found) == Word.SUCCESSOR:
+        word = self.classify(found)
+        if word == Word.SUCCESSOR:
             self._end(self.present.name, self.present.born)
+        if word in (Word.FIRST, Word.SUCCESSOR):
+            self.tag = _make_tag(found)
         self._is_over = False
         self.present = found
 
@@ -103,3 +107,7 @@
             return True
         # An end without a start cannot be later than a start that is told.
         return born is not None and found.born <= born
+
+
+def _make_tag(found: Announcement) -> int:
+    return crc32(f"{found.name} {found.born}".encode()) or 1
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -177,6 +177,26 @@
     flows: tuple[tuple[bytes, str], ...]
 
 
+class Noted(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Bring a control host a balancer's flow entries, for the balancer's next run."""
+
+    entries: bytes
+
+
+class Recall(msgspec.Struct, frozen=True, array_like=True, tag="e"):
+    """Ask a control host for what the sender's former run noted, from ``first`` on."""
+
+    first: int
+
+
+class Recalled(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    """Answer Recall with the entries from ``first`` on, of ``total``."""
+
+    first: int
+    total: int
+    entries: bytes
+
+
 class Reset(msgspec.Struct, frozen=True):
     """Ask the task to reset the flow of a caller's segment."""
 
--- a/ibisshunt/coordination/forwarding/placed.py
+++ b/ibisshunt/coordination/forwarding/placed.py
@@ -31,7 +31,8 @@
     """Remember where a flow was placed; times are in seconds.
 
     ``began`` is when the caller sent its opening packet first, ``acknowledgement`` what
-    it acknowledged last here, None when this balancer has not seen it.
+    it acknowledged last here, None when this balancer has not seen it, and ``noted``
+    what it had acknowledged when the flow was noted for the balancer's next run.
     """
 
     address: str
@@ -42,6 +43,7 @@
     began: float
     offers: Offers = NO_OFFERS
     acknowledgement: int | None = None
+    noted: int | None = None
 
 
 class DoubtfulFlows:
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/recollection.py
@@ -0,0 +1,57 @@
+"""Ask control hosts, after a start, for the open flows of the former run."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from .checkpoint import ENTRIES_PER_MESSAGE, FlowEntry, unpack_entries
+from .messages import Recall, Recalled
+
+# How soon a control host that has not answered is asked again. Unit: seconds. Source:
+# many round trips, and the time that a window of answers takes on a slow link.
+AGAIN_SECONDS = 0.25
+# How long after its start a balancer asks. Unit: seconds. Source: control hosts of a
+# fleet that restarts are back before its callers have given up their flows.
+ASKING_SECONDS = 10.0
+
+
+@dataclass(slots=True)
+class _Progress:
+    next: int = 0
+    ask_at: float = float("-inf")
+    is_done: bool = False
+
+
+class Recollection:
+    """Own the questions of one balancer that starts at ``now``, in seconds."""
+
+    def __init__(self, now: float) -> None:
+        self._until = now + ASKING_SECONDS
+        self._progress: dict[str, _Progress] = {}
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether nobody is asked any more."""
+        return now >= self._until
+
+    def ask(self, control: Iterable[str], now: float) -> Iterator[tuple[str, Recall]]:
+        """Yield whom to ask what now."""
+        for address in control:
+            progress = self._progress.setdefault(address, _Progress())
+            if progress.is_done or now < progress.ask_at:
+                continue
+            progress.ask_at = now + AGAIN_SECONDS
+            yield address, Recall(progress.next)
+
+    def take(self, address: str, message: Recalled, now: float) -> list[FlowEntry]:
+        """Take an answer; return its entries, none when it was asked for again.
+
+        Answers come in order but for lost ones, which are asked for again.
+        """
+        progress = self._progress.get(address)
+        if progress is None or progress.is_done or message.first != progress.next:
+            return []
+        entries = list(unpack_entries(message.entries))
+        progress.next += len(entries)
+        progress.is_done = progress.next >= message.total
+        is_short = len(entries) < ENTRIES_PER_MESSAGE
+        progress.ask_at = now if is_short else now + AGAIN_SECONDS
+        return entries
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -95,6 +95,11 @@
         """Tell whether a flow is looked for."""
         return key in self._open
 
+    def drop(self, key: bytes) -> Segment | None:
+        """End a search; return the last packet of its flow."""
+        search = self._open.pop(key, None)
+        return None if search is None else search.last
+
     def add(self, address: str, service: str) -> None:
         """Ask an agent at once that was not known, or silent, until now."""
         for search in self._open.values():
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -7,6 +7,7 @@
 from ..coordination.directory.messages import NodeRole
 from ..core import Kernel
 from ..exceptions import ConfigurationError
+from ..helpers.imports import import_in_steps
 from ..helpers.logging import warn_event
 from ..helpers.samples import Sample
 from ..model.address import Address
@@ -17,6 +18,16 @@
 # Where each process shows its metrics. Source: the port that exporters of metrics use
 # by custom; the deploy file names it to the platform.
 METRICS_PORT = 9464
+# What the replicated log needs, in parts that each take some milliseconds to load.
+_LOG_MODULES = (
+    "..coordination.consensus.messages",
+    "..coordination.consensus.host",
+    "..protocol.framed",
+    "..components.consensus.driver",
+    "..components.consensus.replicated_log",
+    "..components.versions",
+    "..components.web.wsgi",
+)
 # Name of the service that takes new seeds.
 RELOAD = "reload"
 
@@ -41,6 +52,7 @@
 def set_up_balancer(kernel: Kernel, settings: NodeSettings) -> None:
     """Start a balancer."""
     from ..components.forwarding.balancer import BalancerTask
+    from ..components.forwarding.checkpoints import CheckpointTask
     from ..components.web.small import SmallServer
     from .probe import answer_probe
 
@@ -67,6 +79,13 @@
         task.finish_list,
     )
     task.list_peers = lambda: directory.contacts.peers
+    checkpoints = CheckpointTask(
+        settings.address,
+        task.balancer,
+        inner,
+        directory.list_control,
+        directory.list_heard,
+    )
 
     def is_ready() -> bool:
         return not kernel.is_stopping() and task.is_usable()
@@ -76,12 +95,15 @@
 
     def unload() -> None:
         task.wait_until_left()
+        checkpoints.send()
         server.stop()
 
     kernel.spawn("inner", inner.run)
     kernel.spawn("directory", directory.run)
     kernel.spawn("packets", task.run)
     kernel.spawn("sweep", task.run_sweep)
+    kernel.spawn("recollection", checkpoints.run_asking)
+    kernel.spawn("checkpoints", checkpoints.run_sending)
     kernel.register("directory", directory, dump=directory.dump)
     kernel.register("balancer", task, unload=unload, dump=task.dump)
     _show_metrics(kernel, settings, task.list_samples)
@@ -136,20 +158,34 @@
 
 
 def set_up_control(kernel: Kernel, settings: NodeSettings) -> None:
-    """Start a control host."""
-    from ..components import versions
+    """Start a control host.
+
+    What it has kept for the nodes is offered first: nothing is served without it after
+    a power loss of the fleet, and the log takes two thirds of the start to load.
+    """
+    from ..components.directory.archive import ArchiveTask
     from ..components.directory.control import ControlDirectory
     from ..components.directory.known import open_files
-    from ..components.web.wsgi import serve
-    from .operator import answer_operator
+    from ..coordination.versions import VersionStore
+    from ..helpers.threads import run_in_thread
 
-    service = versions.setup(kernel, settings)
     inner = InnerSocket(settings.inner)
     files = open_files(settings.data_folder)
-    directory = ControlDirectory(inner, service.store, service.list_control, files)
+    store = VersionStore()
+    directory = ControlDirectory(inner, store, tuple, files)
+    archive = ArchiveTask(inner, files.files, run_in_thread)
     kernel.spawn("inner", inner.run)
+    directory.greet()
+    import_in_steps(_LOG_MODULES, __package__)
+    from ..components import versions
+    from ..components.web.wsgi import serve
+    from .operator import answer_operator
+
+    service = versions.setup(kernel, settings, store)
+    directory.list_control = service.list_control
     kernel.spawn("directory", directory.run)
     kernel.spawn("directory-files", directory.run_saving)
+    kernel.spawn("flow-archive", archive.run_saving)
     kernel.register("directory", directory, dump=directory.dump)
     server = serve(settings.control, answer_operator(service))
     kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
--- a/tests/components/consensus/hosts.py
+++ b/tests/components/consensus/hosts.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from ibisshunt.components.consensus.driver import Driver, StateMachine
-from ibisshunt.components.storage import Store
+from ibisshunt.components.storage.store import Store
 from ibisshunt.coordination.consensus import (
     Admit,
     ConsensusSettings,
--- a/tests/components/storage/test_full_disk.py
+++ b/tests/components/storage/test_full_disk.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from ibisshunt.components.storage import DiskFiles
-from ibisshunt.components.storage.files import run_here
+from ibisshunt.components.storage.files import DiskFiles, run_here
 from ibisshunt.exceptions import StorageError
 
 
@@ -46,3 +45,13 @@
         files.append("wal", b"first")
     assert files.read("wal") == b""
     files.close()
+
+
+def test_folders_beside_the_files_are_no_files(tmp_path):
+    # Another part of the process keeps its own folder below this one. Taken for a file
+    # of the log, it would make an empty disk look like one whose log was lost, and the
+    # host would never start.
+    (tmp_path / "directory").mkdir()
+    files = DiskFiles(tmp_path, run_here)
+    assert files.list() == []
+    files.close()
--- a/tests/components/storage/test_store.py
+++ b/tests/components/storage/test_store.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from ibisshunt.components.storage import Batch, DiskFiles, Store
+from ibisshunt.components.storage.files import DiskFiles
+from ibisshunt.components.storage.store import Batch, Store
 from ibisshunt.coordination.consensus.messages import (
     Entry,
     EntryKind,
