Prove by pings, within two tenths of a second, that a host has fallen silent

Cause: an agent counted as lost after 1.7 s without a word, and callers have 1.0-1.2 s in all. Each request on a flow of a dark, cut or frozen host was told after it was over, and new flows went there for 1.3 s.

Change: a caller's repeat (0.2 s), or a status that is 0.2 s late, makes the balancer doubt the agent: it pings it and two others each 40 ms. Three rounds that others have answered 0.1 s ago and the doubted one has not prove its silence. Meanwhile it gets no new flow, and a copy of an opening packet goes to another target. Proved, its flows are asked for elsewhere and reset, idle ones too; a flow whose caller waits for an answer and may not ask twice is left until the route's timeout is over. The agent's next word ends both. An announced pause is never doubted.

Ruled out: shorter limits on statuses (four times the messages, and one deadline only); believing silence alone (a full link of our own looks the same: others are pinged too, and their answers move the doubted one's time); SWIM's indirect ping (whoever cannot reach the host cannot forward packets to it either, so the caller is better off elsewhere whoever is right).

--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -20,6 +20,8 @@
     Known,
     Noted,
     OnBehalf,
+    Ping,
+    Pong,
     Recall,
     Recalled,
     Relay,
@@ -49,6 +51,8 @@
     | Notice
     | Fetch
     | Piece
+    | Ping
+    | Pong
     | Noted
     | Recall
     | Recalled
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -14,6 +14,8 @@
     Ask,
     Deliver,
     OnBehalf,
+    Ping,
+    Pong,
     Probe,
     Relay,
     Send,
@@ -94,6 +96,7 @@
         inner.handle(Relay, self._take_relay)
         inner.handle(OnBehalf, self._take_relayed)
         inner.handle(Told, self._take_told)
+        inner.handle(Ping, self._take_ping)
 
     def run(self) -> None:
         """Serve the target until killed."""
@@ -226,6 +229,9 @@
         if segment := self._read(question.packet):
             self._carry_out(self.agent.take_probe(peer, question, segment, now))
 
+    def _take_ping(self, peer: str, message: Ping) -> None:
+        self._inner.send(peer, Pong(message.number))
+
     def _take_told(self, peer: str, told: Told) -> None:
         for action in self._gatherings.take(peer, told, read_clock()):
             self._carry_out(action)
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -11,6 +11,7 @@
 from ...coordination.forwarding.messages import (
     Gathered,
     Known,
+    Pong,
     Reset,
     Returned,
     Seek,
@@ -68,6 +69,7 @@
         inner.handle(Gathered, self._take_gathered)
         inner.handle(Seek, self._take_seek)
         inner.handle(Known, self._take_known)
+        inner.handle(Pong, self._take_pong)
 
     def run(self) -> None:
         """Serve callers until killed."""
@@ -176,6 +178,9 @@
         if known is not None:
             self._inner.send(peer, known)
 
+    def _take_pong(self, peer: str, message: Pong) -> None:
+        self.balancer.take_pong(peer, message.number, read_clock())
+
     def _take_known(self, peer: str, message: Known) -> None:
         self._carry_out(self.balancer.take_known(message, read_clock()))
 
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -24,11 +24,12 @@
     TargetState,
 )
 from .placed import NO_OFFERS, DoubtfulFlows, Flow, Offers, recall
-from .placement import Target, choose_target
+from .placement import QUIET_SECONDS, Target, choose_target
 from .routes import Route, RouteTable, choose_service, make_tag
 from .search import WITHOUT_FLOWS
 from .searching import Counters, Searches, deliver
 from .segment import Segment
+from .suspicion import CONTROLS, Suspicions
 from .targets import KnownTargets
 
 # How long a flow without packets is remembered. Unit: seconds. Source: twice the
@@ -76,6 +77,7 @@
         self.doubtful = DoubtfulFlows()
         self.checkpoint = Checkpoint()
         self.former = FormerFlows()
+        self.suspicions = Suspicions()
         self.counters = Counters()
         self.searches = Searches(
             self.known, self.counters, draw, tell, self._note_found, now
@@ -110,7 +112,11 @@
         """Take an agent's word; return whether it is new, has restarted or changed."""
         target = self.targets.get(address)
         has_ended = target is not None and target.has_ended_by(status)
+        was_deaf = target is not None and target.is_deaf
         changed = self.known.learn(address, status, now)
+        self.suspicions.end(address)
+        if was_deaf and not has_ended:
+            self.doubtful.forget(self._list_flows(address))
         if changed and has_ended:
             self._doubt(address, status, now)
         if changed:
@@ -123,6 +129,7 @@
     def sweep(self, now: float) -> list[Action]:
         """Go on with searches and forget what is over; call some times a second."""
         actions = self.open_again(now)
+        actions += self._watch_silence(now)
         actions += self._reset_over()
         actions += self._ask_doubtful(now)
         actions += self.searches.go_on_all(now)
@@ -134,7 +141,7 @@
     def is_busy(self) -> bool:
         """Tell whether something waits that a sweep would go on with."""
         waiting = self.searches, self.openings, self.doubtful, self.former.over
-        return any(waiting)
+        return any(waiting) or bool(self.suspicions)
 
     def is_usable(self, now: float) -> bool:
         """Tell whether this balancer could place a flow."""
@@ -222,12 +229,25 @@
             return [Reset(segment, "no_route")]
         if flow is not None and flow.sequence == segment.sequence and flow.opening:
             target = self.targets.get(flow.address)
-            if target is not None and target.is_candidate(now):
+            if target is not None and self._is_trusted(target, flow, now):
                 flow.seen_at = now
                 return [deliver(flow.address, flow.service, segment)]
         service = choose_service(route, segment.key)
         return self._admit(segment, route, service, NO_OFFERS, now)
 
+    def _is_trusted(self, target: Target, flow: Flow, now: float) -> bool:
+        """Tell whether a copy of an opening packet goes where the first one went.
+
+        A target answers within some milliseconds. Unless its agent was heard since,
+        it may have fallen silent, and the caller has one copy left.
+        """
+        if not target.is_candidate(now):
+            return False
+        if target.heard_at >= flow.seen_at:
+            return True
+        self._doubt_target(target, now)
+        return not target.is_doubted
+
     def _find_began(self, segment: Segment, now: float) -> float:
         """Return when the caller sent the first copy of an opening packet."""
         opening = self.openings.find(segment.key)
@@ -392,9 +412,26 @@
         flow.acknowledgement = segment.acknowledgement
         self._follow(segment, flow)
         target = self.targets.get(flow.address)
-        if target is not None and not target.is_lost(now):
-            return [deliver(flow.address, flow.service, segment)]
-        return self._leave(segment, flow, now)
+        is_repeat = bool(segment.data) and flow.note_data(segment.sequence, now)
+        if is_repeat and target is not None:
+            self._doubt_target(target, now)
+        if target is None or self._has_lost(target, segment.key, now):
+            return self._leave(segment, flow, now)
+        return [deliver(flow.address, flow.service, segment)]
+
+    def _has_lost(self, target: Target, key: bytes, now: float) -> bool:
+        """Tell whether a flow's caller is better off without the target.
+
+        A caller that may not ask again loses its request with the flow, so more is
+        asked for: an agent that is started again is back before its caller gives up.
+        """
+        if self._may_repeat(key):
+            return target.is_unreachable(now)
+        return target.is_lost(now)
+
+    def _may_repeat(self, key: bytes) -> bool:
+        route = self.routes.find(key[6:])
+        return route is None or route.repeatable
 
     def _leave(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
         """Go on with a flow that its target does not hold, or is lost with.
@@ -465,6 +502,73 @@
             actions.append(Reset(last, "target_ended"))
         return actions
 
+    def _doubt_target(self, target: Target, now: float) -> None:
+        """Ping the agent of a target whose caller has got no answer."""
+        if not self.suspicions.has_room() or not target.may_be_doubted(now):
+            return
+        others = [
+            found.address
+            for found in self.targets.values()
+            if found is not target and found.may_relay(now)
+        ]
+        if not others:
+            return
+        first = int(self._draw() * len(others))
+        controls = (others[first:] + others[:first])[:CONTROLS]
+        target.is_doubted = True
+        self.suspicions.begin(target.address, controls, now)
+        self._tell_event(
+            "target_doubted",
+            peer=target.address,
+            silent_ms=int(1000 * (now - target.heard_at)),
+        )
+
+    def take_pong(self, address: str, number: int, now: float) -> None:
+        """Take the answer to a ping."""
+        if self.suspicions.take_pong(address, number, now) and address in self.targets:
+            self.targets[address].is_doubted = False
+
+    def _watch_silence(self, now: float) -> list[Action]:
+        """Ping doubted agents, and leave those that are proved to be silent."""
+        for target in self.targets.values():
+            if now - target.heard_at >= QUIET_SECONDS and not target.is_silent(now):
+                self._doubt_target(target, now)
+        for verdict in self.suspicions.judge(now):
+            target = self.targets.get(verdict.address)
+            if target is not None and verdict.is_silent:
+                self._leave_silent(target, now)
+            elif target is not None:
+                target.is_doubted = False
+        return [Send(peer, ping) for peer, ping in self.suspicions.ping(now)]
+
+    def _leave_silent(self, target: Target, now: float) -> None:
+        """Take a target for lost until its agent is heard, and reset its flows.
+
+        Their callers can still be served elsewhere. Not so one that waits for an answer
+        and may not ask twice: its flow stays until it has given up.
+        """
+        target.is_deaf = True
+        self._tell_event(
+            "target_deaf",
+            peer=target.address,
+            silent_ms=int(1000 * (now - target.heard_at)),
+        )
+        for key in self._list_flows(target.address):
+            self.doubtful.add((key,), self._find_reset_at(key, now))
+
+    def _find_reset_at(self, key: bytes, now: float) -> float:
+        if self._may_repeat(key):
+            return now
+        route = self.routes.find(key[6:])
+        return max(now, self.flows[key].asked_at + route.timeout / 1000)
+
+    def _list_flows(self, address: str) -> list[bytes]:
+        return [
+            key
+            for key, flow in self.flows.items()
+            if flow.address == address and not flow.opening
+        ]
+
     def _doubt(self, address: str, status: Status, now: float) -> None:
         """Doubt the open flows of a target that has ended, or has started anew.
 
@@ -472,13 +576,9 @@
         next request; one that must not be sent twice is lost then. Told before, it
         opens a new flow for it.
         """
-        keys = (
-            key
-            for key, flow in self.flows.items()
-            if flow.address == address and not flow.opening
-        )
         is_leaving = status.state == TargetState.GONE
-        self.doubtful.add(keys, now + LEAVING_SECONDS if is_leaving else now)
+        due_at = now + LEAVING_SECONDS if is_leaving else now
+        self.doubtful.add(self._list_flows(address), due_at)
 
     def _ask_doubtful(self, now: float) -> list[Action]:
         """Ask who holds the next flows whose target has ended; nobody: they are reset.
@@ -492,17 +592,25 @@
             if flow is None or flow.acknowledgement is None:
                 continue
             del self.flows[key]
-            holders = self._list_holders(key)
+            holders = self._list_holders(key, self._is_reachable)
             found = recall(key, flow.acknowledgement)
-            actions += self.searches.begin(found, holders, (), frozenset(), now)
+            actions += self.searches.begin(found, holders, (), frozenset(), now, True)
         return actions
 
+    @staticmethod
+    def _is_reachable(target: Target) -> bool:
+        return not target.is_deaf
+
     def _search(
         self, segment: Segment, excluded: frozenset[str], now: float
     ) -> list[Action]:
         """Ask who holds a flow that this balancer does not know."""
-        holders = self._list_holders(segment.key)
-        return self.searches.begin(segment, holders, self.peers, excluded, now)
+        may_repeat = self._may_repeat(segment.key)
+        is_holder = self._is_reachable if may_repeat else _is_any
+        holders = self._list_holders(segment.key, is_holder)
+        return self.searches.begin(
+            segment, holders, self.peers, excluded, now, may_repeat
+        )
 
     def tell_known(self, message: Seek, now: float) -> Known | None:
         """Answer another balancer where a flow is, when this one knows."""
@@ -545,19 +653,21 @@
             service = target.status.service
             self.flows[key] = Flow(target.address, service, 0, False, now, now)
 
-    def _list_holders(self, key: bytes) -> list[Target]:
+    def _list_holders(
+        self, key: bytes, is_holder: Callable[[Target], bool]
+    ) -> list[Target]:
         """Return all targets that may hold a flow, those of its service first.
 
         A flow stays where it is when its route changes, so any service may hold it.
         Targets that have gone hold none: while their agents are remembered, each search
-        would wait for answers that do not come.
+        would wait for answers that do not come. ``is_holder`` leaves out more.
         """
         route = self.routes.find(key[6:])
         likely = {share.service for share in route.shares} if route else set()
         targets = [
             target
             for target in self.targets.values()
-            if target.status.state != TargetState.GONE
+            if target.status.state != TargetState.GONE and is_holder(target)
         ]
         return sorted(targets, key=lambda found: found.status.service not in likely)
 
@@ -573,3 +683,7 @@
         ]
         for key in idle:
             del self.flows[key]
+
+
+def _is_any(target: Target) -> bool:
+    return True
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -177,6 +177,18 @@
     flows: tuple[tuple[bytes, str], ...]
 
 
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Ask an agent for a Pong of the same number, to learn whether it is there."""
+
+    number: int
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """Answer Ping."""
+
+    number: int
+
+
 class Noted(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """Bring a control host a balancer's flow entries, for the balancer's next run."""
 
@@ -208,7 +220,7 @@
     """Ask the task to send a message to the node at ``peer``, an IPv4 address."""
 
     peer: str
-    message: Deliver | Returned | Relay | Told | Gathered | Status | Seek | Known
+    message: Deliver | Returned | Relay | Told | Gathered | Status | Seek | Known | Ping
 
 
 class ToTarget(msgspec.Struct, frozen=True):
--- a/ibisshunt/coordination/forwarding/placed.py
+++ b/ibisshunt/coordination/forwarding/placed.py
@@ -5,7 +5,12 @@
 from itertools import islice
 
 from .messages import Reason
-from .segment import Segment
+from .segment import Segment, is_later
+
+# How soon a caller repeats what was not acknowledged, at least. Unit: seconds. Source:
+# the platform's 200 ms, less what a packet may be delayed; copies of one packet that
+# the network doubled come within some milliseconds.
+REPEAT_SECONDS = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +38,7 @@
     ``began`` is when the caller sent its opening packet first, ``acknowledgement`` what
     it acknowledged last here, None when this balancer has not seen it, and ``noted``
     what it had acknowledged when the flow was noted for the balancer's next run.
+    ``asked`` is the number of the newest data that the caller sent, at ``asked_at``.
     """
 
     address: str
@@ -44,6 +50,15 @@
     offers: Offers = NO_OFFERS
     acknowledgement: int | None = None
     noted: int | None = None
+    asked: int | None = None
+    asked_at: float = float("-inf")
+
+    def note_data(self, sequence: int, now: float) -> bool:
+        """Take the number of a packet with data; return whether it was sent before."""
+        if self.asked is not None and not is_later(sequence, self.asked):
+            return now - self.asked_at >= REPEAT_SECONDS
+        self.asked, self.asked_at = sequence, now
+        return False
 
 
 class DoubtfulFlows:
@@ -68,6 +83,11 @@
             del self._due_at[key]
         return taken
 
+    def forget(self, keys: Iterable[bytes]) -> None:
+        """Doubt these flows no more."""
+        for key in keys:
+            self._due_at.pop(key, None)
+
 
 def recall(key: bytes, acknowledgement: int) -> Segment:
     """Return what is known of a flow without a packet of it, enough to reset it."""
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -9,6 +9,12 @@
 # A target whose agent was silent this long gets new flows only when there is nobody
 # else. Unit: seconds. Source: three statuses in a row lost (STATUS_SECONDS 0.4).
 SILENT_SECONDS = 1.3
+# A target whose agent was heard within this time is not doubted. Unit: seconds. Source:
+# pings would tell nothing newer than its last word, but for some round trips.
+FRESH_SECONDS = 0.1
+# A target whose agent was silent this long is pinged though no caller complains. Unit:
+# seconds. Source: one status and a half (STATUS_SECONDS 0.4).
+QUIET_SECONDS = 0.6
 # A target whose agent was silent this long and said nothing of a pause is lost.
 # Unit: seconds. Source: four statuses in a row; loss of four in a row at 10% is 1e-4.
 LOST_SECONDS = 1.7
@@ -51,6 +57,8 @@
     in which a target serves many requests: the load is taken to drain meanwhile, except
     ``corrected``, when the agent refused a flow and tells on its own when a slot is
     free. ``incarnation`` is the tag of the target's last known incarnation.
+    ``is_doubted`` tells that its agent is being pinged, ``is_deaf`` that it did not
+    answer pings that others did; its next word ends both.
     """
 
     address: str
@@ -62,6 +70,8 @@
     corrected: bool = False
     placed: list[float] = field(default_factory=list)
     incarnation: int = 0
+    is_doubted: bool = False
+    is_deaf: bool = False
 
     def take(self, status: Status, now: float) -> None:
         """Take a newer word; flows placed just now are not in it yet."""
@@ -71,6 +81,7 @@
         self.warm_at = now + status.warm_left / 1000
         self.load, self.load_at = status.active + len(self.placed), now
         self.corrected = False
+        self.is_doubted = self.is_deaf = False
         self.incarnation = status.incarnation or self.incarnation
 
     def has_ended_by(self, status: Status) -> bool:
@@ -99,8 +110,8 @@
         return self.status.state == TargetState.OPEN and not self.is_silent(now)
 
     def is_silent(self, now: float) -> bool:
-        """Tell whether its agent has missed its statuses."""
-        return now - self.heard_at >= SILENT_SECONDS
+        """Tell whether its agent has missed its statuses, or has not answered pings."""
+        return self.is_deaf or now - self.heard_at >= SILENT_SECONDS
 
     def is_lost(self, now: float) -> bool:
         """Tell whether its agent can be taken for dead, and its flows with it."""
@@ -108,6 +119,19 @@
         limit = PAUSE_SECONDS if paused else LOST_SECONDS
         return now - self.heard_at >= limit
 
+    def is_unreachable(self, now: float) -> bool:
+        """Tell whether a caller that may ask again is served sooner elsewhere."""
+        return self.is_deaf or self.is_lost(now)
+
+    def may_be_doubted(self, now: float) -> bool:
+        """Tell whether its silence would mean something, and has lasted a little.
+
+        One that has said that it restarts, or goes, is silent for good reason.
+        """
+        is_meant = self.status.state in (TargetState.PAUSED, TargetState.GONE)
+        is_settled = self.is_doubted or self.is_deaf or is_meant
+        return not is_settled and now - self.heard_at >= FRESH_SECONDS
+
     def may_relay(self, now: float) -> bool:
         """Tell whether its agent can ask others on behalf of a balancer."""
         is_leaving = self.status.state in (TargetState.GONE, TargetState.PAUSED)
@@ -191,7 +215,8 @@
     ]
     if not fresh:
         return None
-    fresh = leave_failing_out(fresh)
+    trusted = [target for target in fresh if not target.is_doubted]
+    fresh = leave_failing_out(trusted or fresh)
     rounds = [target.count_rounds(now) for target in fresh]
     least = min(rounds)
     best = [
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -40,12 +40,15 @@
     ``tags`` gives the service tag of each agent that is asked, by address; ``relayed``
     who was asked in each round; ``unsettled`` are those that have not answered, or had
     not heard their target. ``due_at`` is when it has to be looked at again though
-    no answer has come. Times are in seconds.
+    no answer has come. ``may_repeat`` tells that the caller may send its request again
+    on another flow, and is better off without agents that are silent. Times are in
+    seconds.
     """
 
     last: Segment
     tags: dict[str, int]
     started_at: float
+    may_repeat: bool = False
     held: list[Segment] = field(default_factory=list)
     answers: dict[str, int] = field(default_factory=dict)
     asked_at: float = float("-inf")
@@ -201,10 +204,15 @@
             target = targets.get(address)
             if target is None or target.status.state in WITHOUT_FLOWS:
                 continue
-            if not target.is_lost(now):
+            if not self._has_lost(target, now):
                 return True
         return False
 
+    def _has_lost(self, target: Target, now: float) -> bool:
+        if self.may_repeat:
+            return target.is_unreachable(now)
+        return target.is_lost(now)
+
     def has_maybe(self) -> bool:
         """Tell whether a target may hold the flow whose agent does not know."""
         return bool(self._list_maybe())
@@ -215,7 +223,11 @@
 
 
 def start_search(
-    segment: Segment, targets: list[Target], excluded: frozenset[str], now: float
+    segment: Segment,
+    targets: list[Target],
+    excluded: frozenset[str],
+    now: float,
+    may_repeat: bool = False,
 ) -> Search:
     """Return a search among the targets but the excluded."""
     tags = {
@@ -225,4 +237,4 @@
     }
     answers = dict.fromkeys(excluded, int(Answer.NOT_HELD))
     held = [segment] if segment.raw else []
-    return Search(segment, tags, now, held, answers)
+    return Search(segment, tags, now, may_repeat, held, answers)
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -112,6 +112,7 @@
         peers: tuple[str, ...],
         excluded: frozenset[str],
         now: float,
+        may_repeat: bool = False,
     ) -> list[Action]:
         """Look for a flow: ask balancers nearby, then the agents of ``holders``."""
         if segment.resets:
@@ -123,7 +124,7 @@
         if len(self._open) >= MAX_SEARCHES:
             return []
         self._counters.searched += 1
-        search = start_search(segment, holders, excluded, now)
+        search = start_search(segment, holders, excluded, now, may_repeat)
         self._open[segment.key] = search
         if peers and not excluded:
             search.agents_at = now + PEER_SECONDS
