Part what a balancer decides by job: opening, silence, ended flows, its state

Cause: one module of 620 lines carried openings, packets on flows, searches, silence and ends; the way of one new flow, and of one packet on a flow, did not read straight down. Change: state.py (what it knows), opening.py, silence.py, ending.py, counters.py, and balancer.py (the way of a packet), no decision changed. Tests: their subjects have moved, their assertions have not.

--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -140,7 +140,7 @@
             "version": balancer.routes.version,
             "flows": len(balancer.flows),
             "searches": len(balancer.searches),
-            "counters": balancer.counters,
+            "counters": balancer.state.counters,
             "targets": {
                 address: target.status for address, target in balancer.targets.items()
             },
@@ -159,7 +159,7 @@
         now = read_clock()
         self.balancer.learn(peer, status, now)
         # A word that tells of a queue lets none of them go; the sweep looks again.
-        if self.balancer.openings and status.active <= status.slots:
+        if self.balancer.state.openings and status.active <= status.slots:
             self._carry_out(self.balancer.open_again(now))
 
     def _take_returned(self, peer: str, message: Returned) -> None:
--- a/ibisshunt/components/forwarding/balancer_samples.py
+++ b/ibisshunt/components/forwarding/balancer_samples.py
@@ -13,7 +13,7 @@
     balancer: Balancer, log: DecisionLog, held: LatencyHistogram
 ) -> Iterator[Sample]:
     """Yield what a balancer counted, and how long searches and openings took."""
-    counters = balancer.counters
+    counters = balancer.state.counters
     for outcome, value in (
         ("placed", counters.placed),
         ("refused", counters.refused),
@@ -30,7 +30,7 @@
         yield Sample("ibisshunt_searches_total", COUNTER, labels, value)
     yield Sample("ibisshunt_packets_returned_total", COUNTER, {}, counters.returned)
     yield Sample("ibisshunt_known_flows", GAUGE, {}, len(balancer.flows))
-    yield Sample("ibisshunt_held_openings", GAUGE, {}, len(balancer.openings))
+    yield Sample("ibisshunt_held_openings", GAUGE, {}, len(balancer.state.openings))
     yield Sample("ibisshunt_known_targets", GAUGE, {}, len(balancer.targets))
     version = balancer.routes.version
     yield Sample("ibisshunt_configuration_version", GAUGE, {}, version)
--- a/ibisshunt/components/forwarding/checkpoints.py
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -53,9 +53,9 @@
 
     def send(self) -> None:
         """Send all entries that are not sent yet."""
-        self._balancer.note_flows(read_clock())
+        self._balancer.state.note_flows(read_clock())
         keepers = self._choose_keepers()
-        while keepers and (entries := self._balancer.checkpoint.take()):
+        while keepers and (entries := self._balancer.state.checkpoint.take()):
             self._inner.send_all(keepers, Noted(entries))
 
     def run_asking(self) -> None:
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/counters.py
@@ -0,0 +1,16 @@
+"""Count what a balancer has decided."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what happened since the start."""
+
+    placed: int = 0
+    refused: int = 0
+    searched: int = 0
+    found: int = 0
+    reset: int = 0
+    unroutable: int = 0
+    returned: int = 0
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -1,8 +1,5 @@
 """Look for the flows that a balancer does not know, packet by packet."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-
 from .addresses import pack_addresses
 from .messages import (
     Answer,
@@ -19,7 +16,7 @@
 from .routes import make_tag
 from .search import Search, start_search
 from .segment import Segment
-from .targets import KnownTargets
+from .state import BalancerState
 
 # How long the balancers of the same failure domain have to answer before agents are
 # asked. Unit: seconds. Source: round trips inside a domain take well under one
@@ -45,45 +42,22 @@
 Action = Send | Reset
 
 
-@dataclass(slots=True)
-class Counters:
-    """Count what happened since the start."""
-
-    placed: int = 0
-    refused: int = 0
-    searched: int = 0
-    found: int = 0
-    reset: int = 0
-    unroutable: int = 0
-    returned: int = 0
-
-
 def deliver(address: str, service: str, segment: Segment) -> Send:
     """Return the message that hands a packet of an open flow to its agent."""
     return Send(address, Deliver(make_tag(service), segment.raw))
 
 
 class Searches:
-    """Own the searches of one balancer; ``note_found`` takes what they find.
+    """Own the searches of one balancer.
 
     Times are in seconds of the balancer's clock; it starts at ``now``.
     """
 
-    def __init__(
-        self,
-        known: KnownTargets,
-        counters: Counters,
-        draw: Callable[[], float],
-        tell: Callable[..., None],
-        note_found: Callable[[Segment, Target, float], None],
-        now: float,
-    ) -> None:
+    def __init__(self, state: BalancerState, now: float) -> None:
         self._open: dict[bytes, Search] = {}
-        self._known = known
-        self._counters = counters
-        self._draw = draw
-        self._tell_event = tell
-        self._note_found = note_found
+        self._state = state
+        self._known = state.known
+        self._counters = state.counters
         self._young_until = now + YOUNG_SECONDS
         # Number of the last round of questions; 0 is none.
         self._round = 0
@@ -175,7 +149,7 @@
             if cannot_probe or now >= search.started_at + SEARCH_SECONDS:
                 del self._open[key]
                 silent = search.silent()
-                self._tell_event(
+                self._state.tell_event(
                     "flow_not_found",
                     flow=key.hex(),
                     silent=len(silent),
@@ -185,7 +159,7 @@
             return []
         del self._open[key]
         self._counters.reset += 1
-        self._tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
+        self._state.tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
         return [Reset(search.last, "held_by_nobody")]
 
     def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
@@ -237,7 +211,7 @@
         if not targets:
             return None
         for _ in range(RELAY_DRAWS):
-            drawn = targets[int(self._draw() * len(targets))]
+            drawn = targets[int(self._state.draw() * len(targets))]
             if drawn.may_relay(now):
                 return drawn
         return next((found for found in targets if found.may_relay(now)), drawn)
@@ -251,8 +225,8 @@
             return []
         del self._open[key]
         self._counters.found += 1
-        self._tell_event("flow_found", flow=key.hex(), peer=holder)
-        self._note_found(search.last, target, now)
+        self._state.tell_event("flow_found", flow=key.hex(), peer=holder)
+        self._state.note_found(search.last, target, now)
         service = target.status.service
         left = search.list_left(holder)
         return [deliver(holder, service, held) for held in left]
--- a/tests/coordination/forwarding/test_checkpoint.py
+++ b/tests/coordination/forwarding/test_checkpoint.py
@@ -9,7 +9,7 @@
     GENERATIONS,
     FlowArchive,
 )
-from ibisshunt.coordination.forwarding.balancer import RESETS_PER_SWEEP, Balancer
+from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.checkpoint import (
     ENDED,
     ENTRIES_PER_MESSAGE,
@@ -21,6 +21,7 @@
     pack_entries,
     unpack_entries,
 )
+from ibisshunt.coordination.forwarding.ending import RESETS_PER_SWEEP
 from ibisshunt.coordination.forwarding.recollection import (
     AGAIN_SECONDS,
     ASKING_SECONDS,
@@ -51,9 +52,9 @@
 def take_entries(world):
     """Return all that a balancer notes now."""
     balancer = world.balancers[FIRST]
-    balancer.note_flows(world.now)
+    balancer.state.note_flows(world.now)
     found = []
-    while packed := balancer.checkpoint.take():
+    while packed := balancer.state.checkpoint.take():
         found += unpack_entries(packed)
     return found
 
--- a/tests/coordination/forwarding/test_doubtful.py
+++ b/tests/coordination/forwarding/test_doubtful.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from ibisshunt.coordination.forwarding.balancer import DOUBTS_PER_SWEEP
+from ibisshunt.coordination.forwarding.ending import DOUBTS_PER_SWEEP
 from ibisshunt.coordination.forwarding.messages import Deliver
 from tests.forwarding_world import World, data_segment, make_key
 
@@ -99,7 +99,7 @@
     world.tell_all()
     world.agents[address].announce(replace(known, number=90), world.now)
     world.tell_all()
-    assert not world.balancers[FIRST].doubtful
+    assert not world.balancers[FIRST].ended.doubtful
     world.wait(0.5)
     assert not world.resets
 
@@ -134,7 +134,7 @@
     address, number = world.open(FIRST)
     world.send(FIRST, data_segment(make_key(), number))
     balancer = world.balancers[FIRST]
-    balancer.doubtful.add([make_key()], world.now)
+    balancer.ended.doubtful.add([make_key()], world.now)
     world.silent.add(address)
     world.carry_out(FIRST, balancer.sweep(world.now))
     world.send(FIRST, data_segment(make_key(), number, 1017))
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/test_placement.py
@@ -80,7 +80,7 @@
     chosen = set()
     for seed in range(20):
         balancer = make_balancer([make_status() for _ in range(7)])
-        balancer._draw = random.Random(seed).random
+        balancer.state.draw = random.Random(seed).random
         chosen.update(place(balancer, 40_001, 10.0))
     assert len(chosen) >= 5
 
@@ -162,7 +162,7 @@
     # behind the requests at work, and is not put behind the late ones.
     balancer = make_fresh_balancer()
     wait_for_a_restart(balancer)
-    assert len(balancer.openings) > 30
+    assert len(balancer.state.openings) > 30
     assert len(place(balancer, 41_000, 9.64)) == 1
 
 
@@ -172,7 +172,7 @@
     for now in (9.7, 9.74, 9.76, 9.8):
         count += len(balancer.sweep(now))
     assert count == 60
-    assert not balancer.openings
+    assert not balancer.state.openings
 
 
 def test_a_copy_tells_for_how_long_its_caller_has_waited():
--- a/tests/coordination/forwarding/test_silence.py
+++ b/tests/coordination/forwarding/test_silence.py
@@ -196,7 +196,7 @@
     ask(world, number)
     run(world, PAUSE_SECONDS / 2)
     assert not world.resets
-    assert not world.balancers[FIRST].suspicions
+    assert not world.balancers[FIRST].silence.suspicions
 
 
 def test_a_host_that_freezes_and_wakes_keeps_the_flows_that_were_not_told():
@@ -224,7 +224,7 @@
     run(world, 0.25)
     target = world.balancers[FIRST].targets[address]
     assert target.is_deaf
-    assert len(world.balancers[FIRST].doubtful) == 1
+    assert len(world.balancers[FIRST].ended.doubtful) == 1
     world.silent.clear()
     world.tell_all()
     run(world, 1.0)
@@ -247,7 +247,7 @@
         return False
 
     run(world, 2.0, count)
-    assert len(world.balancers[FIRST].suspicions) <= MAX_DOUBTS
+    assert len(world.balancers[FIRST].silence.suspicions) <= MAX_DOUBTS
     targets = world.balancers[FIRST].targets
     assert all(targets[address].is_silent(world.now) for address in dark)
     assert not any(
