--- a/ibisshunt/coordination/forwarding/archive.py
+++ b/ibisshunt/coordination/forwarding/archive.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 from collections.abc import Iterable
-from socket import inet_aton, inet_ntoa
 
+from .addresses import ADDRESS_BYTES, pack_address, unpack_address
 from .checkpoint import (
     ENDED,
     ENTRIES_PER_MESSAGE,
@@ -21,7 +21,6 @@
 WINDOW = 8
 # Flows in memory, of all balancers. Source: 30 MB of the 128 MB of a control host.
 MAX_ENTRIES = 200_000
-_ADDRESS_BYTES = 4
 
 
 class FlowArchive:
@@ -56,7 +55,7 @@
         """Take the entries of a balancer."""
         if len(self) >= MAX_ENTRIES:
             return
-        batch = inet_aton(balancer) + entries
+        batch = pack_address(balancer) + entries
         self._apply(batch)
         self._unsaved.append(batch)
 
@@ -92,9 +91,9 @@
         return messages or [Recalled(first, len(found), b"")]
 
     def _apply(self, batch: bytes) -> None:
-        balancer = inet_ntoa(batch[:_ADDRESS_BYTES])
+        balancer = unpack_address(batch[:ADDRESS_BYTES])
         entries = self._generations[-1].setdefault(balancer, {})
-        for entry in unpack_entries(batch[_ADDRESS_BYTES:]):
+        for entry in unpack_entries(batch[ADDRESS_BYTES:]):
             entries[entry.key] = entry
 
     def _list_open(self, balancer: str) -> list[FlowEntry]:
--- a/ibisshunt/coordination/forwarding/checkpoint.py
+++ b/ibisshunt/coordination/forwarding/checkpoint.py
@@ -9,9 +9,9 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from socket import inet_aton, inet_ntoa
 from struct import Struct
 
+from .addresses import pack_address, unpack_address
 from .placed import Flow
 from .segment import SEQUENCE_SPACE
 
@@ -49,7 +49,7 @@
         _ENTRY.pack(
             entry.key,
             entry.acknowledgement,
-            inet_aton(entry.address),
+            pack_address(entry.address),
             entry.incarnation,
         )
         for entry in entries
@@ -60,7 +60,7 @@
     """Yield the whole entries in ``data``; what is left at its end is not one."""
     whole = len(data) // ENTRY_BYTES * ENTRY_BYTES
     for key, acknowledgement, address, incarnation in _ENTRY.iter_unpack(data[:whole]):
-        yield FlowEntry(key, acknowledgement, inet_ntoa(address), incarnation)
+        yield FlowEntry(key, acknowledgement, unpack_address(address), incarnation)
 
 
 class Checkpoint:
--- a/measurements/forwarding.py
+++ b/measurements/forwarding.py
@@ -26,9 +26,9 @@
     TargetState,
 )
 from ibisshunt.coordination.forwarding.placement import choose_target
-from ibisshunt.coordination.forwarding.searching import Counters, Searches
+from ibisshunt.coordination.forwarding.searching import Searches
 from ibisshunt.coordination.forwarding.segment import Segment
-from ibisshunt.coordination.forwarding.targets import KnownTargets
+from ibisshunt.coordination.forwarding.state import BalancerState
 
 TARGETS = (6, 51, 204)
 NODES = (100, 400, 1_600)
@@ -73,13 +73,15 @@
     return ENCODE(make_gathered(key, number, answers))
 
 
-def time_search(known: KnownTargets, hosts: list[str]) -> float:
+def make_state() -> BalancerState:
+    """Return what a balancer knows that has just started."""
+    return BalancerState(random.Random(7).random, lambda event, **fields: None, 0.0)
+
+
+def time_search(state: BalancerState, hosts: list[str]) -> float:
     """Return the microseconds in which a balancer finds that a flow has ended."""
-    draw = random.Random(7).random
-    searches = Searches(
-        known, Counters(), draw, lambda event, **fields: None, lambda *found: None, 0.0
-    )
-    holders = [known.targets[host] for host in hosts]
+    searches = Searches(state, 0.0)
+    holders = [state.targets[host] for host in hosts]
 
     def search(number: int) -> None:
         key = number.to_bytes(12, "big")
@@ -95,10 +97,10 @@
 
 def measure_balancer(count: int) -> dict[str, float]:
     """Return what a balancer spends on a status, and on the choice of a target."""
-    known = KnownTargets(lambda event, **fields: None, 0.0)
+    state = make_state()
+    known = state.known
     for number in range(count):
         known.learn(name_host(number), make_status(1), 0.0)
-    draw = random.Random(7).random
     targets = known.list_of("gatepass")
     hosts = [name_host(number) for number in range(count)]
     packed = [ENCODE(make_status(number + 2)) for number in range(ROUNDS)]
@@ -110,13 +112,13 @@
         "targets": count,
         "status_us": time_calls(take),
         "choice_us": time_calls(
-            lambda number: choose_target(targets, frozenset(), draw, 0.1)
+            lambda number: choose_target(targets, frozenset(), state.draw, 0.1)
         ),
         "question_bytes": len(
             ENCODE(Relay(pack_addresses(hosts), Ask(bytes(12), 1 << 31), 1 << 15))
         ),
         "answer_bytes": len(make_answer(bytes(12), 1 << 15, hosts)),
-        "search_us": time_search(known, hosts),
+        "search_us": time_search(state, hosts),
     }
 
 
