Open a program's sockets before the rest of it is loaded

Cause: after a power loss a thin host takes 0.15-0.25 s to import its program, and what comes meanwhile is refused or lost.

Change: settings are read and the sockets bound first, with the standard library alone; the programs take them over.

--- a/ibisshunt/components/web/small.py
+++ b/ibisshunt/components/web/small.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ...helpers.early import take_stream
 from ...model.address import Address
 from . import TOO_LARGE, Handle, WebReply, WebRequest
 
@@ -23,12 +24,20 @@
 NOT_TAKEN = WebReply("501 Not Implemented")
 
 
+def _find_listener(address: Address) -> Any:
+    """Return the listener that was opened early, or the address to listen at."""
+    early = take_stream(address.as_pair())
+    if early is None:
+        return address.as_pair()
+    return socket.socket(early.family, early.type, fileno=early.detach())
+
+
 class SmallServer:
     """Own the listener and the connections of one address."""
 
     def __init__(self, address: Address, handle: Handle) -> None:
         self._handle = handle
-        self._server = StreamServer(address.as_pair(), self._serve)
+        self._server = StreamServer(_find_listener(address), self._serve)
 
     def start(self) -> None:
         """Begin to serve."""
--- a/ibisshunt/helpers/datagrams.py
+++ b/ibisshunt/helpers/datagrams.py
@@ -10,13 +10,13 @@
 
 from ..const import MAX_DATAGRAM_BYTES
 from ..model.address import Address
+from .early import prepare_datagram, take_datagram
 
 # Packets handled before other tasks may run. While data are ready a receive never
 # waits, so that without this a flood of packets would starve the task that renews the
 # lease: a healthy node would look dead. The event loop looks at sockets and timers
 # only after about 50 turns, so that a turn has to be short.
 PACKETS_PER_TURN: Final = 16
-BUFFER_BYTES: Final = 4 * 1024 * 1024
 
 Pair = tuple[str, int]
 
@@ -30,6 +30,13 @@
     return [getattr(socket, name) for name in names]
 
 
+def _open(address: Address) -> Any:
+    (make_socket,) = _get_original(["socket"])
+    opened = make_socket(socket.AF_INET, socket.SOCK_DGRAM)
+    prepare_datagram(opened, address.as_pair())
+    return opened
+
+
 class DatagramSocket:
     """Own one UDP socket; use it from one process of gevent tasks.
 
@@ -38,12 +45,7 @@
     """
 
     def __init__(self, address: Address) -> None:
-        (make_socket,) = _get_original(["socket"])
-        self._socket: Any = make_socket(socket.AF_INET, socket.SOCK_DGRAM)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
-        self._socket.setblocking(False)
-        self._socket.bind(address.as_pair())
+        self._socket: Any = take_datagram(address.as_pair()) or _open(address)
         self.address = Address(*self._socket.getsockname())
         self.send_to: Callable[[bytes, Pair], int] = self._socket.sendto
 
--- a/ibisshunt/platform/__main__.py
+++ b/ibisshunt/platform/__main__.py
@@ -7,6 +7,11 @@
 # take a small host a second, would. The settings are read afterwards anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from .early import open_early
+
+# What calls this program waits at its sockets while the rest is imported.
+open_early(sys.argv[-1])
+
 import gevent
 
 from ..const import EXIT_BAD_INPUT, EXIT_FAILURE
--- a/ibisshunt/platform/settings.py
+++ b/ibisshunt/platform/settings.py
@@ -10,8 +10,7 @@
 from ..exceptions import AddressError, Fault, SettingsError
 from ..model.address import Address, read_address
 from ..model.node import NodeSettings
-
-PATH_VARIABLE = "IBISSHUNT_NODE_FILE"
+from .early import PATH_VARIABLE
 
 
 class _File(msgspec.Struct, rename="pascal"):
