--- a/tests/coordination/forwarding/test_doubtful.py
+++ b/tests/coordination/forwarding/test_doubtful.py
@@ -121,6 +121,9 @@
     world.tell_all()
     world.wait(0.5)
     assert not world.resets
+    # Nobody can be probed without a packet, and nothing goes on waiting for one.
+    assert not world.balancers[FIRST].searches
+    assert not any(target.strays for target in world.targets.values())
     world.send(FIRST, data_segment(make_key(), number, 1017))
     world.wait(0.2)
     assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
@@ -155,6 +158,9 @@
     world.sent.clear()
     world.carry_out(FIRST, world.balancers[FIRST].sweep(world.now))
     asked = [sent for sent in world.sent if not isinstance(sent.message, Deliver)]
+    # Each question and answer has some 100 bytes: a sweep each 20 ms may not take more
+    # than a tenth of a link of 2.2 Mbit/s.
     assert 0 < len(asked) <= DOUBTS_PER_SWEEP
+    assert len(asked) * 100 * 8 * 50 <= 0.1 * 2.2e6
     world.wait(1.0)
     assert len(world.resets) == 40
--- a/tests/coordination/forwarding/test_incarnations.py
+++ b/tests/coordination/forwarding/test_incarnations.py
@@ -221,3 +221,31 @@
         )
         if word != Word.LATE:
             incarnations.take(found)
+
+
+def test_an_agent_is_not_sure_of_flows_that_may_be_the_former_incarnations():
+    # A flow opened after the last heartbeat of a target that then started anew: it may
+    # be of either incarnation. The agent must not vouch for it, or its caller waits for
+    # an answer that never comes.
+    world, address = make_world()
+    world.now += 0.1
+    _, number = world.open(FIRST)
+    world.targets[address].flows.clear()
+    world.now += 0.1
+    say(world, address, number=1, born=BORN + 5000)
+    question = Ask(make_key(), number)
+    assert world.agents[address].tell(question, world.now).answer == Answer.MAYBE
+    world.send(SECOND, data_segment(make_key(), number))
+    world.wait(0.3)
+    assert [reset.reason for reset in world.resets] == ["held_by_nobody"]
+
+
+def test_balancers_take_a_target_that_begins_to_tell_its_start_for_the_same():
+    # The first heartbeat lacks the start, the next one has it. A balancer that saw
+    # another incarnation in that would reset the flows it has noted.
+    world = World(targets=1)
+    (address,) = world.agents
+    agent = world.agents[address]
+    before = agent.report(world.now).incarnation
+    agent.announce(replace(agent.present, number=2, born=BORN), world.now)
+    assert agent.report(world.now).incarnation == before
--- a/tests/coordination/forwarding/test_silence.py
+++ b/tests/coordination/forwarding/test_silence.py
@@ -7,6 +7,8 @@
 from ibisshunt.coordination.forwarding.suspicion import (
     MARGIN_SECONDS,
     MAX_DOUBTS,
+    MISSED_ROUNDS,
+    PING_SECONDS,
     Suspicions,
 )
 from tests.forwarding_world import World, data_segment, make_key, open_segment
@@ -151,6 +153,22 @@
     assert not world.resets
 
 
+def test_one_lost_round_proves_nothing():
+    # One ping, or its answer, is lost, and the next two as well, while others answer:
+    # that happens on a bad link. Three are needed, each 0.1 s after the others' answer.
+    suspicions = Suspicions()
+    suspicions.begin("10.0.2.1", ("10.0.2.2",), 0.0)
+    for number in range(MISSED_ROUNDS):
+        now = number * 2 * PING_SECONDS
+        for peer, sent in suspicions.ping(now):
+            if peer == "10.0.2.2":
+                suspicions.take_pong(peer, sent.number, now)
+        assert not suspicions.judge(now + MARGIN_SECONDS / 2)
+    assert not suspicions.judge(now + MARGIN_SECONDS - 0.001)
+    (verdict,) = suspicions.judge(now + MARGIN_SECONDS)
+    assert verdict.is_silent
+
+
 def test_answers_that_are_late_for_all_prove_nothing():
     # A full link delays every datagram by 0.3 s. The doubted agent answers as late as
     # the others do, after three and more rounds: it is not silent.
@@ -227,6 +245,7 @@
     assert len(world.balancers[FIRST].ended.doubtful) == 1
     world.silent.clear()
     world.tell_all()
+    assert not world.balancers[FIRST].ended.doubtful
     run(world, 1.0)
     assert target.is_candidate(world.now)
     assert not world.resets
@@ -241,13 +260,15 @@
     world.silent = dark
     pinged = []
 
+    suspicions = world.balancers[FIRST].silence.suspicions
+
     def count(sent):
+        assert len(suspicions) <= MAX_DOUBTS
         if not isinstance(sent, Reset) and isinstance(sent.message, Ping):
             pinged.append(sent)
         return False
 
     run(world, 2.0, count)
-    assert len(world.balancers[FIRST].silence.suspicions) <= MAX_DOUBTS
     targets = world.balancers[FIRST].targets
     assert all(targets[address].is_silent(world.now) for address in dark)
     assert not any(
