Bound the noted flows of a control host by what it takes; write up outages and silence

Cause: a control host kept 200,000 noted flows, 58 MB at the 290 bytes that were now measured, and counted all of them for each message (10 us an entry with 1,600 balancers).

--- a/ibisshunt/coordination/forwarding/archive.py
+++ b/ibisshunt/coordination/forwarding/archive.py
@@ -7,6 +7,7 @@
 from .checkpoint import (
     ENDED,
     ENTRIES_PER_MESSAGE,
+    ENTRY_BYTES,
     FlowEntry,
     pack_entries,
     unpack_entries,
@@ -19,8 +20,10 @@
 GENERATIONS = 3
 # Messages for one question. Source: as for the pieces of a configuration, 10 kB.
 WINDOW = 8
-# Flows in memory, of all balancers. Source: 30 MB of the 128 MB of a control host.
-MAX_ENTRIES = 200_000
+# Flows that are taken in one generation, of all balancers. Source: three generations of
+# 290 bytes a flow (measured) are 30 MB of the 128 MB of a control host; what is above
+# is not noted, and its callers hear of an end when they use their flows.
+MAX_ENTRIES = 35_000
 
 
 class FlowArchive:
@@ -41,6 +44,7 @@
                 self._apply(batch)
         self._generations.append({})
         self._rotate_at = now + GENERATION_SECONDS
+        self._taken = 0
         self._unsaved: list[bytes] = []
         self._recalled: dict[str, list[FlowEntry]] = {}
 
@@ -53,7 +57,8 @@
 
     def take(self, balancer: str, entries: bytes) -> None:
         """Take the entries of a balancer."""
-        if len(self) >= MAX_ENTRIES:
+        self._taken += len(entries) // ENTRY_BYTES
+        if self._taken > MAX_ENTRIES:
             return
         batch = pack_address(balancer) + entries
         self._apply(batch)
@@ -70,6 +75,7 @@
             return False
         self._rotate_at = now + GENERATION_SECONDS
         self._generations.append({})
+        self._taken = 0
         self._recalled.clear()
         return True
 
--- a/measurements/capacity_forwarding.py
+++ b/measurements/capacity_forwarding.py
@@ -2,6 +2,13 @@
 
 from ibisshunt.components.directory.node import HELLO_SECONDS
 from ibisshunt.components.forwarding.agent import STATUS_SECONDS
+from ibisshunt.components.forwarding.checkpoints import COPIES
+from ibisshunt.coordination.forwarding.archive import GENERATION_SECONDS, GENERATIONS
+from ibisshunt.coordination.forwarding.suspicion import (
+    CONTROLS,
+    MAX_DOUBTS,
+    PING_SECONDS,
+)
 
 from .capacity_rows import (
     AGENTS,
@@ -10,6 +17,8 @@
     CONTROL_HOSTS,
     CORE_LIMIT,
     CPU_LIMIT,
+    MEMORY_LIMIT,
+    NEW_FLOWS,
     NODES,
     TARGETS_EACH,
     Row,
@@ -31,6 +40,11 @@
     hellos = NODES / HELLO_SECONDS
     hello_us = find_line("hello_taken").at(NODES)
     asked = find_line("question").at(AGENTS)
+    noted = max(one["noted_bytes"] for one in figures["archive"])
+    noted_us = max(one["take_us"] for one in figures["archive"])
+    notes = NEW_FLOWS * COPIES / CONTROL_HOSTS
+    kept = notes * GENERATIONS * GENERATION_SECONDS
+    pings = MAX_DOUBTS * (1 + CONTROLS) / PING_SECONDS
     groups = "balancers that hear only the services they place"
     return [
         Row(
@@ -124,4 +138,38 @@
             "us",
             "`coordination/forwarding/searching.py`",
         ),
+        Row(
+            "flows that a balancer notes for its next run",
+            f"{NEW_FLOWS:,} / {BALANCERS} x {COPIES} copies x {noted:.0f} B",
+            NEW_FLOWS / BALANCERS * COPIES * noted,
+            "B/s",
+            "`coordination/forwarding/checkpoint.py`",
+            BYTES_LIMIT,
+        ),
+        Row(
+            "processor for noted flows at a control host",
+            f"{notes:,.0f} a second x {noted_us:.1f} us",
+            notes * noted_us / 1e6,
+            "core",
+            "`coordination/forwarding/archive.py`",
+            CORE_LIMIT,
+        ),
+        Row(
+            "memory of noted flows at a control host, if none were left out",
+            f"{kept:,.0f} flows of {GENERATIONS * GENERATION_SECONDS:.0f} s",
+            find_line("archive").at(kept),
+            "B",
+            "`coordination/forwarding/archive.py`",
+            MEMORY_LIMIT,
+            "entries read from the disk when their balancer asks; 35,000 in 30 s are"
+            " taken today, the rest is left out",
+        ),
+        Row(
+            "pings of a balancer, while hosts fall silent",
+            f"{pings:.0f} a second x {figures['ping_bytes']} B",
+            pings * figures["ping_bytes"],
+            "B/s",
+            "`coordination/forwarding/suspicion.py`",
+            BYTES_LIMIT,
+        ),
     ]
--- a/measurements/capacity_rows.py
+++ b/measurements/capacity_rows.py
@@ -259,6 +259,12 @@
         ("forwarding", "control"),
         ("nodes", "list_bytes", "B"),
     ),
+    "archive": (
+        "memory of noted flows on a control host (platform)",
+        "flow",
+        ("forwarding", "archive"),
+        ("flows", "held_bytes", "B"),
+    ),
     "node_file": (
         "file of nodes on a control host (platform)",
         "node",
--- a/measurements/forwarding.py
+++ b/measurements/forwarding.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -16,10 +17,18 @@
 from ibisshunt.coordination.directory.messages import Hello, NodeRole
 from ibisshunt.coordination.directory.registry import Registry
 from ibisshunt.coordination.forwarding.addresses import pack_addresses
+from ibisshunt.coordination.forwarding.archive import FlowArchive
+from ibisshunt.coordination.forwarding.checkpoint import (
+    ENTRIES_PER_MESSAGE,
+    FlowEntry,
+    pack_entries,
+)
 from ibisshunt.coordination.forwarding.gathering import make_gathered
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
+    Noted,
+    Ping,
     Relay,
     Send,
     Status,
@@ -32,6 +41,7 @@
 
 TARGETS = (6, 51, 204)
 NODES = (100, 400, 1_600)
+FLOWS = (2_400, 9_600, 33_600)
 ROUNDS = 20_000
 SEARCHES = 2_000
 ENCODE = msgspec.msgpack.Encoder().encode
@@ -122,6 +132,37 @@
     }
 
 
+def measure_archive(count: int) -> dict[str, float]:
+    """Return what a control host spends on the noted flows of balancers."""
+    entries = [
+        FlowEntry(number.to_bytes(12, "big"), number, name_host(number), 1 << 31)
+        for number in range(count)
+    ]
+    batches = [
+        pack_entries(entries[first : first + ENTRIES_PER_MESSAGE])
+        for first in range(0, count, ENTRIES_PER_MESSAGE)
+    ]
+    noted = ENCODE(Noted(batches[0]))
+    archive = FlowArchive()
+    balancers = [name_host(number) for number in range(len(batches))]
+    tracemalloc.start()
+    for balancer, batch in zip(balancers, batches, strict=True):
+        archive.take(balancer, batch)
+    archive.take_unsaved()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    again = FlowArchive()
+    taken = time_calls(
+        lambda number: again.take(balancers[number], batches[number]), len(batches)
+    )
+    return {
+        "flows": count,
+        "noted_bytes": len(noted) / ENTRIES_PER_MESSAGE,
+        "held_bytes": held,
+        "take_us": taken / ENTRIES_PER_MESSAGE,
+    }
+
+
 def measure_control(count: int) -> dict[str, float]:
     """Return what a control host spends on introductions among so many agents."""
     registry = Registry()
@@ -145,9 +186,11 @@
     """Print all figures."""
     found = {
         "status_bytes": len(ENCODE(make_status())),
+        "ping_bytes": len(ENCODE(Ping(1 << 31))),
         "hello_bytes": len(ENCODE(Hello(NodeRole.AGENT, 61, 1 << 31, "cambridge"))),
         "balancer": [measure_balancer(count) for count in TARGETS],
         "control": [measure_control(count) for count in NODES],
+        "archive": [measure_archive(count) for count in FLOWS],
     }
     print(json.dumps(found, indent=1))
 
--- a/tests/components/directory/test_archive.py
+++ b/tests/components/directory/test_archive.py
@@ -51,10 +51,12 @@
     task, inner = start(files)
     inner.take(BALANCER, Noted(ENTRIES))
     task.save(read_clock())
+    inner.take(BALANCER, Noted(ENTRIES))
+    task.save(read_clock())
     (name,) = files.list()
     whole = files.read(name)
     files.truncate(name, 0)
-    files.append(name, b"\x00" + whole[1:] + whole)
+    files.append(name, b"\x00" + whole[1:])
     files.append("flows-x", b"foreign")
     _, inner = start(files)
     assert recall(inner).total == 0
--- a/tests/coordination/forwarding/test_checkpoint.py
+++ b/tests/coordination/forwarding/test_checkpoint.py
@@ -305,6 +305,18 @@
     assert recall_all(again, FIRST) == []
 
 
+def test_a_flood_of_notes_does_not_fill_the_memory_of_a_control_host():
+    # More flows are noted than a control host can keep, by a fleet that has grown or a
+    # writer that has gone wrong. At 290 bytes each they may take 32 MB in all.
+    archive = FlowArchive()
+    batch = pack_entries(make_entries(ENTRIES_PER_MESSAGE))
+    for turn in range(2 * GENERATIONS):
+        for number in range(1000):
+            archive.take(f"10.1.{number // 250}.{number % 250}", batch)
+        archive.rotate((turn + 1) * GENERATION_SECONDS)
+        assert len(archive) * 290 < 32e6
+
+
 @given(st.binary(max_size=200))
 def test_damaged_entries_never_raise(data):
     # A datagram of another writer, or a damaged one: what is whole is read.
--- a/tests/coordination/forwarding/test_silence.py
+++ b/tests/coordination/forwarding/test_silence.py
@@ -79,6 +79,7 @@
     ask(world, number)
     run(world, 0.25)
     assert world.balancers[FIRST].targets[address].is_deaf
+    ask(world, number)
     assert not world.resets
     world.silent.clear()
     world.tell_all()
