--- a/tests/examples/test_examples.py
+++ b/tests/examples/test_examples.py
@@ -49,7 +49,15 @@
     assert imported == "imported []"
 
 
-@pytest.mark.parametrize("name", ["replicated_store", "flow_proxy"])
+def test_a_caller_of_a_dark_host_hears_in_time_in_an_embedded_balancer():
+    # A host goes dark with a caller's request under way. The caller has a second in
+    # all, repeats after 0.2 s, and must be told within half of the time.
+    told, imported = run_example("silent_host")
+    assert float(re.search(r"after (\S+) s", told)[1]) <= 0.5
+    assert imported == "imported []"
+
+
+@pytest.mark.parametrize("name", ["replicated_store", "flow_proxy", "silent_host"])
 def test_examples_are_short(name):
     lines = (ROOT / "examples" / f"{name}.py").read_text().splitlines()
     assert len(lines) < 120
