--- a/tests/coordination/forwarding/test_checkpoint.py
+++ b/tests/coordination/forwarding/test_checkpoint.py
@@ -39,16 +39,6 @@
 CONTROL, OTHER_CONTROL = "10.0.3.1", "10.0.3.2"
 
 
-def open_flows(world, count):
-    """Open flows and use each once; return their targets by key."""
-    homes = {}
-    for port in range(40_001, 40_001 + count):
-        address, number = world.open(FIRST, make_key(port))
-        world.send(FIRST, data_segment(make_key(port), number))
-        homes[make_key(port)] = address
-    return homes
-
-
 def take_entries(world):
     """Return all that a balancer notes now."""
     balancer = world.balancers[FIRST]
@@ -88,7 +78,7 @@
     # must not be sent twice is lost when it is sent on one. The balancer gets its
     # former flows from control and resets them as soon as their targets are heard.
     world = World(targets=3)
-    homes = open_flows(world, 9)
+    homes = world.open_flows(FIRST, 9)
     world.wait(NOTED_AFTER_SECONDS + 0.1)
     entries = take_entries(world)
     assert {entry.key: entry.address for entry in entries} == homes
@@ -120,7 +110,7 @@
     # Only the balancer restarts. Its flows are at targets that live on: they are known
     # again, nothing is asked and nothing is reset.
     world = World(targets=3)
-    homes = open_flows(world, 6)
+    homes = world.open_flows(FIRST, 6)
     world.wait(NOTED_AFTER_SECONDS + 0.1)
     entries = take_entries(world)
     world.balancers[FIRST] = world.make_balancer()
@@ -159,7 +149,7 @@
     # A caller uses its port again before the balancer has its former flows. The new
     # flow has the key of one that ended.
     world = World(targets=1)
-    open_flows(world, 1)
+    world.open_flows(FIRST, 1)
     world.wait(NOTED_AFTER_SECONDS + 0.1)
     entries = take_entries(world)
     lose_power(world)
@@ -190,7 +180,7 @@
 
 def test_entries_of_targets_that_do_not_come_back_are_forgotten():
     world = World(targets=2)
-    open_flows(world, 4)
+    world.open_flows(FIRST, 4)
     world.wait(NOTED_AFTER_SECONDS + 0.1)
     entries = take_entries(world)
     lose_power(world)
--- a/tests/coordination/forwarding/test_doubtful.py
+++ b/tests/coordination/forwarding/test_doubtful.py
@@ -10,16 +10,6 @@
 BORN = 1_700_000_000_000
 
 
-def open_flows(world, count):
-    """Open flows through one balancer and use each once; return their targets."""
-    homes = {}
-    for port in range(40_001, 40_001 + count):
-        address, number = world.open(FIRST, make_key(port))
-        world.send(FIRST, data_segment(make_key(port), number))
-        homes[make_key(port)] = address
-    return homes
-
-
 def start_again(world, address):
     """Let a target crash and start again; its agent runs on and hears it."""
     world.wait(0.5)
@@ -45,7 +35,7 @@
     # balancer hears of the new start and resets them at once; other flows go on.
     world = World(targets=3)
     tell_born(world)
-    homes = open_flows(world, 12)
+    homes = world.open_flows(FIRST, 12)
     reborn = next(iter(homes.values()))
     start_again(world, reborn)
     world.wait(0.5)
@@ -58,7 +48,7 @@
     # A target drains, says its last word and goes, with idle flows open. It may still
     # run for a moment after that word, in which no flow is reset.
     world = World(targets=3)
-    homes = open_flows(world, 12)
+    homes = world.open_flows(FIRST, 12)
     left = next(iter(homes.values()))
     world.targets[left].is_there = False
     world.agents[left].leave(world.agents[left].present.name)
@@ -152,7 +142,7 @@
     # the moment when its callers come back.
     world = World(targets=1)
     tell_born(world)
-    open_flows(world, 40)
+    world.open_flows(FIRST, 40)
     (address,) = world.agents
     start_again(world, address)
     world.sent.clear()
--- a/tests/coordination/forwarding/test_silence.py
+++ b/tests/coordination/forwarding/test_silence.py
@@ -44,15 +44,20 @@
     world.send(FIRST, data_segment(make_key(), number, sequence))
 
 
+def ask_twice(world, number):
+    """Let the caller send a request, and repeat it as it does without an answer."""
+    ask(world, number)
+    run(world, REPEAT)
+    ask(world, number)
+
+
 def test_a_caller_hears_in_time_that_the_host_of_its_flow_went_dark():
     # A host goes dark. A caller asks on its open flow, and repeats after 0.2 s. It may
     # ask again elsewhere, and has a second in all: it is told within half of that, and
     # need not repeat once more to hear of it.
     world, address, number = make_world()
     world.silent.add(address)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     run(world, 0.3)
     assert len(world.resets) == 1
 
@@ -72,9 +77,7 @@
     # answer comes once the agent is back.
     world, address, number = make_world(repeatable=False)
     world.silent.add(address)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     run(world, 0.25)
     assert world.balancers[FIRST].targets[address].is_deaf
     ask(world, number)
@@ -107,9 +110,7 @@
     # A target is doubted for a while because an answer was lost. It gets no new flow
     # meanwhile, and does again with its agent's first word; its open flow goes on.
     world, address, number = make_world(targets=2)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     assert world.balancers[FIRST].targets[address].is_doubted
     for port in range(41_001, 41_021):
         world.send(FIRST, open_segment(make_key(port)))
@@ -144,9 +145,7 @@
     # proved by that, and no flow is reset before agents count as lost.
     world, _, number = make_world()
     world.silent = set(world.agents)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     run(world, 1.0)
     assert not any(found.is_deaf for found in world.balancers[FIRST].targets.values())
     assert not world.resets
@@ -206,9 +205,7 @@
     world.agents[address].pause(world.now)
     world.tell_all()
     world.silent.add(address)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     run(world, PAUSE_SECONDS / 2)
     assert not world.resets
     assert not world.balancers[FIRST].silence.suspicions
@@ -233,9 +230,7 @@
     # were reset: with its first word the rest of them go on.
     world, address, number = make_world(repeatable=False)
     world.silent.add(address)
-    ask(world, number)
-    run(world, REPEAT)
-    ask(world, number)
+    ask_twice(world, number)
     run(world, 0.25)
     target = world.balancers[FIRST].targets[address]
     assert target.is_deaf
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -210,6 +210,15 @@
         address, segment = self.to_callers[before]
         return address, segment.sequence + 1
 
+    def open_flows(self, balancer, count):
+        """Open flows and use each once; return their targets by key."""
+        homes = {}
+        for port in range(40_001, 40_001 + count):
+            address, number = self.open(balancer, make_key(port))
+            self.send(balancer, data_segment(make_key(port), number))
+            homes[make_key(port)] = address
+        return homes
+
     def _deliver(self, balancer, action: Send):
         if isinstance(action.message, Seek):
             known = self.balancers[action.peer].tell_known(action.message, self.now)
