Refuse a message between our nodes whose fields cannot be what they say

Cause: roles, states, answers and reasons travelled as any integer. A datagram with an unknown role raised in the task that reads messages, which ended the control host; a count below zero went into decisions. Change: messages carry the enumerations and counts that they mean; what does not fit is refused when it is read, counted and logged as before (datagram_unreadable, at a rate that halves).

--- a/ibisshunt/coordination/directory/messages.py
+++ b/ibisshunt/coordination/directory/messages.py
@@ -1,9 +1,13 @@
 """Name what nodes and control hosts tell each other."""
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
+# Numbers that count something: a message with another one is refused when it is read.
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class NodeRole(IntEnum):
     """Name what a node does."""
@@ -20,8 +24,8 @@
     hold none: its target has gone.
     """
 
-    role: int
-    version: int
+    role: NodeRole
+    version: Count
     digest: int
     domain: str = ""
     is_empty: bool = False
@@ -36,7 +40,7 @@
     has run for long enough to have heard all nodes.
     """
 
-    version: int
+    version: Count
     digest: int
     control: tuple[str, ...]
     nodes: tuple[str, ...] | None
@@ -55,21 +59,21 @@
 class Notice(msgspec.Struct, frozen=True, array_like=True, tag="n"):
     """Tell that the sender holds a configuration of that version."""
 
-    version: int
+    version: Count
 
 
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="f"):
     """Ask for pieces of a configuration, from ``first`` on."""
 
-    version: int
-    first: int
+    version: Count
+    first: Count
 
 
 class Piece(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     """Bring piece ``index`` of ``count``; ``checksum`` covers the whole."""
 
-    version: int
-    index: int
-    count: int
+    version: Count
+    index: Count
+    count: Annotated[int, msgspec.Meta(ge=1)]
     checksum: int
     data: bytes
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -1,11 +1,15 @@
 """Name what balancers and agents tell each other, and what they ask of their tasks."""
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
 from .segment import Segment
 
+# Numbers that count something: a message with another one is refused when it is read.
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class TargetState(IntEnum):
     """Tell what a target's agent says of it.
@@ -65,18 +69,18 @@
     is the tag of the target's incarnation, 0 while the agent has not heard it.
     """
 
-    start: int
-    number: int
+    start: Count
+    number: Count
     service: str
-    state: int
-    slots: int
-    active: int
-    flows: int
-    service_us: int
-    warm_left: int
-    version: int
-    failing: int = 0
-    incarnation: int = 0
+    state: TargetState
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    active: Count
+    flows: Count
+    service_us: Count
+    warm_left: Count
+    version: Count
+    failing: Count = 0
+    incarnation: Count = 0
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
@@ -88,7 +92,7 @@
 
     tag: int
     packet: bytes
-    limit: int = NO_LIMIT
+    limit: Count = NO_LIMIT
 
 
 class Returned(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -97,9 +101,9 @@
     ``load`` is how many requests are at the target now.
     """
 
-    reason: int
+    reason: Reason
     packet: bytes
-    load: int = 0
+    load: Count = 0
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="a"):
@@ -154,15 +158,15 @@
 
     key: bytes
     number: int
-    rest: int
-    told: tuple[tuple[int, bytes], ...] = ()
+    rest: Answer
+    told: tuple[tuple[Answer, bytes], ...] = ()
 
 
 class Told(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     """Answer OnBehalf."""
 
     key: bytes
-    answer: int
+    answer: Answer
 
 
 class Seek(msgspec.Struct, frozen=True, array_like=True, tag="k"):
@@ -198,14 +202,14 @@
 class Recall(msgspec.Struct, frozen=True, array_like=True, tag="e"):
     """Ask a control host for what the sender's former run noted, from ``first`` on."""
 
-    first: int
+    first: Count
 
 
 class Recalled(msgspec.Struct, frozen=True, array_like=True, tag="m"):
     """Answer Recall with the entries from ``first`` on, of ``total``."""
 
-    first: int
-    total: int
+    first: Count
+    total: Count
     entries: bytes
 
 
