--- a/measurements/unserved.py
+++ b/measurements/unserved.py
@@ -32,6 +32,11 @@
     "target_replaced": False,
     "flow_not_found": False,
 }
+ANSWERED = "request_answered"
+# What a plot shows: bars, and how much before and after a dark time. Unit: seconds.
+BAR_SECONDS = 0.1
+BEFORE_SECONDS = 0.5
+AFTER_SECONDS = 2.0
 # The kind of requests that may run once at most, in a deployment's file.
 ONCE = "unsafe"
 
@@ -139,6 +144,20 @@
     return hopeless
 
 
+def plot_answers(dark: Dark, lines: list[Line]) -> Iterator[str]:
+    """Yield a bar of answered requests for each tenth of a second around a dark time.
+
+    Processes leave lines out above a bound, so that long bars are too short.
+    """
+    counts = Counter(
+        round(line.at // BAR_SECONDS) for line in lines if line.event == ANSWERED
+    )
+    first = round((dark.began - BEFORE_SECONDS) // BAR_SECONDS)
+    last = round((dark.ended + AFTER_SECONDS) // BAR_SECONDS)
+    for bar in range(first, last):
+        yield f"{bar * BAR_SECONDS:7.1f} s {counts[bar]:4} {'#' * counts[bar]}"
+
+
 def describe(span: Span, report: dict[str, Any], decided: Counter[str]) -> str:
     """Return one line on a span."""
     faults = [
@@ -174,6 +193,7 @@
             f"dark from {dark.began:.2f} to {dark.ended:.2f} s: some {hopeless:.0f} of"
             f" {sum(span.failed for span in spans)} could be served by nobody"
         )
+        print(*plot_answers(dark, lines), sep="\n")
 
 
 if __name__ == "__main__":
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -8,6 +8,7 @@
     find_dark,
     list_spans,
     main,
+    plot_answers,
     read_lines,
 )
 
@@ -16,6 +17,7 @@
   10.1000 front-a-1 I event=reset_sent flow=aa reason=held_by_nobody
   12.0000 front-a-1 I event=started program=balancer
   12.5000 front-a-1 I event=flow_placed flow=ab peer=10.0.2.1
+  12.5500 side-a-1 I event=request_answered request=q flow=ab status=200
   12.6000 front-a-1 W event=target_deaf peer=10.0.2.2 silent_ms=500
 """
 REPORT = {
@@ -58,6 +60,12 @@
     assert hopeless == pytest.approx(75 * 1.5 + 25 * 2.5)
 
 
+def test_the_plot_shows_answers_around_the_dark(lines):
+    (dark,) = find_dark(REPORT, lines)
+    bars = list(plot_answers(dark, lines))
+    assert [bar for bar in bars if "#" in bar] == ["   12.5 s    1 #"]
+
+
 def test_the_command_prints_the_spans_with_losses(tmp_path, capsys):
     import json
 
