--- a/measurements/unserved.py
+++ b/measurements/unserved.py
@@ -37,6 +37,8 @@
 BAR_SECONDS = 0.1
 BEFORE_SECONDS = 0.5
 AFTER_SECONDS = 2.0
+# The fault of a whole fleet that leaves the targets alone.
+KILL = "kill_all"
 # The kind of requests that may run once at most, in a deployment's file.
 ONCE = "unsafe"
 
@@ -67,10 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Dark:
-    """Hold a time in which no flow was placed, in seconds of the day."""
+    """Hold a time in which no flow was placed, in seconds of the day.
+
+    ``ends_flows`` tells whether the targets, and the flows with them, ended too.
+    """
 
     began: float
     ended: float
+    ends_flows: bool
 
 
 def read_lines(path: Path) -> Iterator[Line]:
@@ -115,7 +121,7 @@
         back = next((at for at in started if at > began), None)
         ended = next((at for at in placed if back is not None and at > back), None)
         if ended is not None:
-            dark.append(Dark(began, ended))
+            dark.append(Dark(began, ended, KILL not in event["kind"]))
     return dark
 
 
@@ -137,7 +143,8 @@
     hopeless = 0.0
     for kind in classes:
         patience = kind["deadline_ms"] / 1000
-        if kind.get("kind") == ONCE and kind.get("habit") == "pool":
+        may_end = kind.get("kind") == ONCE and kind.get("habit") == "pool"
+        if dark.ends_flows and may_end:
             patience = 0.0
         rate = shares.get(kind["name"], 0.0) * asked / seconds
         hopeless += rate * max(0.0, lasted - patience)
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -1,5 +1,7 @@
 """The command that attributes requests that were late or never served."""
 
+from dataclasses import replace
+
 import pytest
 
 from measurements.unserved import (
@@ -58,6 +60,10 @@
     shares = {"feed": 0.75, "swap": 0.25}
     hopeless = estimate_hopeless(dark, list_spans(REPORT), CLASSES, shares)
     assert hopeless == pytest.approx(75 * 1.5 + 25 * 2.5)
+    # Where only our processes are killed, flows go on.
+    kept = replace(dark, ends_flows=False)
+    hopeless = estimate_hopeless(kept, list_spans(REPORT), CLASSES, shares)
+    assert hopeless == pytest.approx(75 * 1.5 + 25 * 1.3)
 
 
 def test_the_plot_shows_answers_around_the_dark(lines):
