--- a/tests/components/directory/test_inner_words.py
+++ b/tests/components/directory/test_inner_words.py
@@ -16,9 +16,9 @@
 from ibisshunt.coordination.versions import VersionStore
 from ibisshunt.helpers.clock import read_clock
 from ibisshunt.model.address import Address
-from ibisshunt.model.node import NodeSettings
 from ibisshunt.platform.packet import CODEC
 from tests.components.storage.memory_files import MemoryFiles
+from tests.node_settings import make_settings
 
 SENDER = ("127.7.8.9", 17_720)
 TAGS = "drabyzgtkoqucemshwlinfp"
@@ -34,24 +34,6 @@
 )
 
 
-def make_settings():
-    """Return the settings of a node that listens where nobody is."""
-    nowhere = Address("127.0.0.1", 0)
-    return NodeSettings(
-        name="n",
-        address="127.0.0.1",
-        failure_domain="a",
-        inner=nowhere,
-        inner_calls=nowhere,
-        seeds=(),
-        is_first_start=False,
-        losses=0,
-        heartbeat=1.0,
-        max_flow=60.0,
-        packets=nowhere,
-    )
-
-
 def make_balancer(inner):
     """Let a balancer and its tasks take messages."""
     task = BalancerTask(make_settings(), CODEC, inner)
--- a/tests/platform/test_endpoint.py
+++ b/tests/platform/test_endpoint.py
@@ -10,9 +10,9 @@
 from ibisshunt.components.web import WebRequest
 from ibisshunt.coordination.forwarding.messages import TargetState
 from ibisshunt.model.address import Address
-from ibisshunt.model.node import NodeSettings
 from ibisshunt.platform.endpoint import answer_endpoint
 from ibisshunt.platform.packet import CODEC
+from tests.node_settings import NOWHERE, make_settings
 
 SERVICE = "huvo11a"
 BEAT = {
@@ -42,25 +42,8 @@
 
 def make_agent():
     """Return an agent's task beside an open target, and its handler."""
-    nowhere = Address("127.0.0.1", 0)
-    settings = NodeSettings(
-        name="side-a-1",
-        address="127.0.0.1",
-        failure_domain="a",
-        inner=nowhere,
-        inner_calls=nowhere,
-        seeds=(),
-        is_first_start=False,
-        losses=0,
-        heartbeat=1.0,
-        max_flow=60.0,
-        packets=nowhere,
-        outward=nowhere,
-        ready=None,
-        control=None,
-        target=Address("127.0.0.1", 9),
-        service=SERVICE,
-        data_folder="",
+    settings = make_settings(
+        outward=NOWHERE, target=Address("127.0.0.1", 9), service=SERVICE
     )
     task = AgentTask(settings, CODEC, NoSocket(), list)
     handle = answer_endpoint(task)
