Keep a target's reset back until it is proved to end the caller's present flow

Cause, by reading: an agent handed everything on that its target sent. A target answers packets of flows that it held before, or does not hold, with resets; an agent that knows no flow yet (its host was added, or it restarted) delivers what searches probe it with. The same way was open for packets that follow a stale word of another balancer, and for the acknowledgement of an older flow's end, which was taken for proof that the probed target holds the flow.

Change: an agent knows the ends of the numbers that the target has sent, an estimate of the first where the opening was not seen. A reset goes on only when the caller's last packet acknowledges numbers in between; otherwise it counts as a packet sent back, the balancer asks all others, and resets the flow itself when nobody holds it. What a probed target sends is proof under the same condition alone. `take_outward` returns all actions, `confirm` is gone.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -242,9 +242,8 @@
             self.unreadable += 1
             return
         now = read_clock()
-        self._carry_out(self.agent.take_outward(segment, now))
-        if found := self.agent.confirm(segment):
-            self._carry_out(found)
+        for action in self.agent.take_outward(segment, now):
+            self._carry_out(action)
         if waiting := self.agent.take_waiting(now):
             self.meet(waiting)
 
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -222,23 +222,24 @@
             flow = self.flows[segment.key] = HeldFlow(None, now)
         elif flow.is_foreign(segment):
             return self._return(origin, Reason.NOT_HELD, segment)
-        flow.seen_at = now
-        flow.caller_ended = flow.caller_ended or segment.finishes
+        flow.note_inward(origin, segment, now)
         if segment.data:
             self._opening.pop(segment.key, None)
         self.delivered += 1
         return ToTarget(origin, segment)
 
-    def take_outward(self, segment: Segment, now: float) -> Action:
+    def take_outward(self, segment: Segment, now: float) -> list[Action]:
         """Take a packet that the target sent."""
         if segment.returned:
-            return self._take_bounced(segment)
+            return [self._take_bounced(segment)]
         flow = self.flows.get(segment.key)
         if flow is None:
             flow = self.flows[segment.key] = HeldFlow(None, now)
-        flow.note_outward(segment, now)
         self.requests.note_outward(segment, now)
-        return ToCaller(segment)
+        if segment.resets and not flow.is_proved:
+            return self._take_unproved_reset(segment, flow)
+        flow.note_outward(segment, now)
+        return self._confirm(segment, flow)
 
     def take_probe(
         self, origin: str, message: Probe, segment: Segment, now: float
@@ -259,15 +260,39 @@
         self._probed[segment.key] = (now, origin)
         return action
 
-    def confirm(self, segment: Segment) -> Send | None:
-        """Return the word that the target holds a flow that it was probed for.
+    def _confirm(self, segment: Segment, flow: HeldFlow) -> list[Action]:
+        """Hand on what the target sent, and tell who probed it for the flow.
 
-        To be called with each packet that the target sent to a caller.
+        A target also acknowledges the end of a flow that it held before, of the same
+        caller and port: such a packet is neither proof nor of use to the caller.
         """
-        if segment.key not in self._probed or segment.returned or segment.resets:
-            return None
-        _, origin = self._probed.pop(segment.key)
-        return Send(origin, Told(segment.key, Answer.KEPT))
+        probed = self._probed.pop(segment.key, None)
+        if probed is None:
+            return [ToCaller(segment)]
+        if not flow.is_proved:
+            return [Send(probed[1], Told(segment.key, Answer.NOT_HELD))]
+        told = Told(segment.key, Answer.KEPT)
+        return [ToCaller(segment), Send(probed[1], told)]
+
+    def _take_unproved_reset(self, segment: Segment, flow: HeldFlow) -> list[Action]:
+        """Take a target's reset of a flow that may be open elsewhere.
+
+        A target resets packets of flows that it held before. One that a search probed,
+        or that got a packet by a stale word, may never have held the caller's present
+        flow: handed on, the reset breaks that flow at the target that holds it. So it
+        counts as a packet sent back, and the caller hears from the balancer that asks
+        all others.
+        """
+        del self.flows[segment.key]
+        self._opening.pop(segment.key, None)
+        self._tell_event("reset_kept_back", flow=segment.key.hex())
+        probed = self._probed.pop(segment.key, None)
+        if probed is not None:
+            return [Send(probed[1], Told(segment.key, Answer.NOT_HELD))]
+        if flow.asked is None:
+            return []
+        reason = Reason.BOUNCED if flow.asked.opens else Reason.NOT_HELD
+        return [self._return(flow.origin, reason, flow.asked)]
 
     def tell(self, message: Ask, now: float) -> Told:
         """Answer whether the target holds a flow."""
@@ -281,8 +306,6 @@
             if not flow.fits(message.acknowledgement):
                 return Answer.NOT_HELD
             return Answer.MAYBE if flow.is_unsure else Answer.HELD
-        if flow is not None and flow.is_answered:
-            return Answer.HELD
         if self.knows_all(now):
             return Answer.NOT_HELD
         if self.state != TargetState.ABSENT:
@@ -325,9 +348,10 @@
         self._opening[segment.key] = now
         flow = self.flows.get(segment.key)
         if flow is None:
-            self.flows[segment.key] = HeldFlow(None, now)
+            flow = self.flows[segment.key] = HeldFlow(None, now)
         else:
             flow.begin_again(now)
+        flow.note_inward(origin, segment, now)
         self.delivered += 1
         return ToTarget(origin, segment)
 
--- a/ibisshunt/coordination/forwarding/held.py
+++ b/ibisshunt/coordination/forwarding/held.py
@@ -4,22 +4,31 @@
 
 from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
 
+# How far behind the target's newest number a caller's acknowledgement may be when the
+# flow's opening was not seen: far more than what is ever on its way, and so little of
+# the number space that another flow's numbers hardly ever lie in it.
+UNSEEN_SPAN_BYTES = 1 << 20
+
 
 @dataclass(slots=True)
 class HeldFlow:
     """Hold what an agent saw of a flow; times are in seconds.
 
     ``first`` and ``last`` are the ends of the numbers that the target has sent, None
-    when its opening was not seen; ``is_answered`` tells that the target has sent
-    anything in it, and so holds it. ``opened_at`` is when the target took its opening.
-    ``is_unsure`` tells that the target may have started anew since, and knows nothing
-    of the flow then.
+    while it has sent nothing; ``first`` is estimated when the opening was not seen.
+    ``is_proved`` tells that the caller's last packet acknowledges numbers that the
+    target has sent: it is the caller's present flow that the target holds. Until then
+    ``asked`` is that packet, which came from the balancer at ``origin``.
+    ``opened_at`` is when the target took its opening. ``is_unsure`` tells that the
+    target may have started anew since, and knows nothing of the flow then.
     """
 
     first: int | None
     seen_at: float
     last: int = 0
-    is_answered: bool = False
+    is_proved: bool = False
+    asked: Segment | None = None
+    origin: str = ""
     caller_ended: bool = False
     target_ended: bool = False
     ended_at: float = 0.0
@@ -34,23 +43,44 @@
         self.seen_at, self.ended_at = now, 0.0
         self.caller_ended = self.target_ended = False
 
+    def note_inward(self, origin: str, segment: Segment, now: float) -> None:
+        """Take a caller's packet that goes to the target."""
+        self.seen_at = now
+        self.origin, self.asked = origin, segment
+        self.caller_ended = self.caller_ended or segment.finishes
+        self._prove()
+
     def note_outward(self, segment: Segment, now: float) -> None:
         """Take a packet that the target sent."""
+        self.seen_at = now
+        self.is_unsure = False
+        if segment.resets:
+            self.ended_at = now
+            return
         if segment.opens:
             self.first = self.last = segment.sequence
             self.ended_at = 0.0
             self.opened_at = now
-        self.seen_at = now
-        self.is_unsure = False
-        self.is_answered = not segment.resets
+        elif self.first is None:
+            self.first = (segment.sequence - UNSEEN_SPAN_BYTES) % SEQUENCE_SPACE
+            self.last = segment.sequence
         end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
         if is_later(end, self.last):
             self.last = end % SEQUENCE_SPACE
+        self._prove()
         self.target_ended = self.target_ended or segment.finishes
-        both_ended = self.target_ended and self.caller_ended
-        if segment.resets or (both_ended and not self.ended_at):
+        if self.target_ended and self.caller_ended and not self.ended_at:
             self.ended_at = now
 
+    def _prove(self) -> None:
+        if self.asked is None:
+            return
+        self.is_proved = self.asked.acknowledges and self.fits(
+            self.asked.acknowledgement
+        )
+        if self.is_proved:
+            self.asked = None
+
     def fits(self, acknowledgement: int) -> bool:
         """Tell whether a caller's acknowledgement is of what the target has sent."""
         if self.first is None:
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -50,6 +50,11 @@
     return Segment(key, b"data", data, sequence, acknowledgement, acknowledges=True)
 
 
+def reset_segment(key, sequence=0):
+    """Return a target's reset of a flow."""
+    return Segment(key, b"rst", b"", sequence, 0, resets=True)
+
+
 @dataclass
 class FakeTarget:
     """Hold flows as an endpoint does: it returns each packet that it does not hold."""
@@ -58,6 +63,8 @@
     full: bool = False
     is_there: bool = True
     answers: bool = False
+    # Whether it answers packets of flows that it does not hold with resets.
+    resets_strays: bool = False
     flows: dict = field(default_factory=dict)
     taken: list = field(default_factory=list)
     strays: list = field(default_factory=list)
@@ -83,6 +90,8 @@
         first = self.flows.get(segment.key)
         if first is None or segment.acknowledgement - first > 50_000:
             self.strays.append(segment)
+            if self.resets_strays:
+                return reset_segment(segment.key, self.first)
             return replace(segment, returned=True, origin=origin)
         self.taken.append(segment)
         if not self.answers:
@@ -275,12 +284,10 @@
             origin = bytes(int(part) for part in answer.origin.split("."))
             sent = self.targets[address].take(answer.segment, origin)
             if sent is not None:
-                answer = self.agents[address].take_outward(sent, self.now)
-                self._follow(balancer, address, answer, segment)
+                for answer in self.agents[address].take_outward(sent, self.now):
+                    self._follow(balancer, address, answer, segment)
         elif isinstance(answer, ToCaller):
             self.to_callers.append((address, answer.segment))
-            if found := self.agents[address].confirm(answer.segment):
-                self._tell(found.peer, address, found.message)
         elif isinstance(answer.message, Told):
             self._tell(answer.peer, address, answer.message)
         elif isinstance(answer.message, Returned):
