Let a node ask the control host that greets it, also when it is no seed

Change: the sender of a notice is a control host to introduce oneself to.

Ruled out: the processors of control hosts (up at 39.64 s, idle), a lost greeting (the configuration came from there).

--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -141,9 +141,12 @@
         self.offer(peer, welcome.version)
 
     def _take_notice(self, peer: str, notice: Notice) -> None:
+        now = read_clock()
+        self.contacts.note_control(peer, now)
         if not self.is_in_touch():
-            # A control host that has just started: it may tell who else is there.
-            self._introduce(read_clock())
+            # A control host that has just started: it may tell who else is there. It
+            # need not be a seed, and after an outage the seeds may be back later.
+            self._introduce(now)
         self.offer(peer, notice.version)
 
     def _take_introduce(self, peer: str, message: Introduce) -> None:
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -43,6 +43,10 @@
         ]
         return sorted({*self.seeds, *listed})
 
+    def note_control(self, address: str, now: float) -> None:
+        """Take a control host that has spoken without being asked."""
+        self._control[address] = now
+
     def list_nodes(self) -> list[str]:
         """Return the nodes to work with."""
         return list(self._nodes)
