Wait for the first words of several targets before flows are placed

Change: a balancer that has just started holds openings until no new target has spoken for 10 ms, 60 ms at most, or all that are listed have spoken.

Ruled out: a fixed pause (small fleets would wait for nothing).

--- a/ibisshunt/coordination/forwarding/opening.py
+++ b/ibisshunt/coordination/forwarding/opening.py
@@ -79,6 +79,8 @@
             if target is not None and self._is_trusted(target, flow, now):
                 flow.seen_at = now
                 return [deliver(flow.address, flow.service, segment)]
+        if self.state.known.is_gathering(now):
+            return self._hold(segment, now)
         service = choose_service(route, segment.key)
         return self._admit(segment, route, service, NO_OFFERS, now)
 
--- a/ibisshunt/coordination/forwarding/targets.py
+++ b/ibisshunt/coordination/forwarding/targets.py
@@ -14,6 +14,11 @@
 # How long a target that was listed, but has not spoken, counts as one that may hold
 # a flow. Unit: seconds. Source: as for one that falls silent, and its way here.
 EXPECT_SECONDS = 3.0
+# How long a balancer that has just started waits for the words of more targets before
+# it places flows: from the last new one on, and from the first one on at most. All
+# agents speak to it at once, and its link takes them one after the other.
+GATHER_QUIET_SECONDS = 0.01
+GATHER_SECONDS = 0.06
 
 
 class KnownTargets:
@@ -25,6 +30,9 @@
         self._learned_at = now + LEARN_SECONDS
         self._is_listed = False
         self._expected: dict[str, float] = {}
+        self._is_told = False
+        self._first_at = float("inf")
+        self._newest_at = float("-inf")
         self._by_service: dict[str, list[Target]] = {}
 
     def list_of(self, service: str) -> list[Target]:
@@ -33,6 +41,7 @@
 
     def expect(self, address: str, now: float) -> None:
         """Take the word that an agent is there, which has yet to speak."""
+        self._is_told = True
         if address not in self.targets:
             self._expected.setdefault(address, now)
 
@@ -54,6 +63,17 @@
             return True
         return any(now - at < EXPECT_SECONDS for at in self._expected.values())
 
+    def is_gathering(self, now: float) -> bool:
+        """Tell whether the first words of targets are still coming in.
+
+        Flows that waited for a fleet to start would all go to the target that happens
+        to speak first, from every balancer that hears it.
+        """
+        if now >= self._learned_at or (self._is_told and not self._expected):
+            return False
+        is_quiet = now >= self._newest_at + GATHER_QUIET_SECONDS
+        return not is_quiet and now < self._first_at + GATHER_SECONDS
+
     def learn(self, address: str, status: Status, now: float) -> bool:
         """Take an agent's word; return whether it is new, has restarted or changed."""
         known = self.targets.get(address)
@@ -63,6 +83,8 @@
         if known is None:
             known = self.targets[address] = Target(address, status, now, now)
             self._expected.pop(address, None)
+            self._first_at = min(self._first_at, now)
+            self._newest_at = now
         known.take(status, now)
         if changed:
             self._index()
