--- a/ibisshunt/components/forwarding/checkpoints.py
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -66,7 +66,9 @@
 
     def ask(self) -> None:
         """Ask the control hosts that have not told everything."""
-        asked = self._recollection.ask(self._list_control(), read_clock())
+        asked = self._recollection.ask(
+            self._list_control(), read_clock(), self._list_heard()
+        )
         for peer, question in asked:
             self._inner.send(peer, question)
 
--- a/ibisshunt/coordination/forwarding/recollection.py
+++ b/ibisshunt/coordination/forwarding/recollection.py
@@ -21,6 +21,7 @@
     ask_at: float = float("-inf")
     # Up to which entry the last question asked.
     asked_to: int = 0
+    is_heard: bool = False
     is_done: bool = False
 
 
@@ -35,8 +36,19 @@
         """Tell whether nobody is asked any more."""
         return now >= self._until
 
-    def ask(self, control: Iterable[str], now: float) -> Iterator[tuple[str, Recall]]:
-        """Yield whom to ask what now."""
+    def ask(
+        self, control: Iterable[str], now: float, heard: Iterable[str] = ()
+    ) -> Iterator[tuple[str, Recall]]:
+        """Yield whom to ask what now.
+
+        What was asked before a control host was back is lost: one that is ``heard``
+        for the first time is asked at once, since callers of ended flows wait for it.
+        """
+        for address in heard:
+            progress = self._progress.setdefault(address, _Progress())
+            if not progress.is_heard:
+                progress.is_heard = True
+                progress.ask_at = float("-inf")
         for address in control:
             progress = self._progress.setdefault(address, _Progress())
             if progress.is_done or now < progress.ask_at:
--- a/tests/coordination/forwarding/test_checkpoint.py
+++ b/tests/coordination/forwarding/test_checkpoint.py
@@ -295,6 +295,16 @@
     assert recollection.is_over(ASKING_SECONDS)
 
 
+def test_a_control_host_that_speaks_is_asked_at_once():
+    # All power was lost, and a balancer is back 0.1 s before a control host: its first
+    # question is lost. Callers that use flows that ended lose their requests for as
+    # long as the balancer does not ask again.
+    recollection = Recollection(0.0)
+    assert len(list(recollection.ask([CONTROL], 0.0))) == 1
+    assert len(list(recollection.ask([CONTROL], 0.1, [CONTROL]))) == 1
+    assert not list(recollection.ask([CONTROL], 0.12, [CONTROL]))
+
+
 def test_entries_outlive_the_run_and_old_generations_do_not_stay():
     archive = FlowArchive()
     archive.take(FIRST, pack_entries(make_entries(5)))
