--- a/tests/coordination/forwarding/test_agent.py
+++ b/tests/coordination/forwarding/test_agent.py
@@ -88,7 +88,7 @@
     # After a power loss each of a hundred dead flows is probed at each target. Counted
     # as requests they would make every target look full for the new flows.
     agent, now = make_agent()
-    agent._knows_all_at = now + 60
+    agent.held.knows_all_at = now + 60
     for port in range(40):
         agent.take_probe(FIRST, Probe(TAG, b""), data_segment(make_key(port), 1), now)
     assert agent.count_load(now) == 0
@@ -110,7 +110,7 @@
     # The agent started after the flow. It answered maybe, and the flow was found by a
     # probe; what the target then sent is proof for the next balancer that asks.
     agent, now = make_agent()
-    agent._knows_all_at = now + 60
+    agent.held.knows_all_at = now + 60
     question = Ask(make_key(1), 5)
     assert agent.tell(question, now).answer == Answer.MAYBE
     answer(agent, 1, now)
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from ibisshunt.coordination.forwarding.agent import MISSED_HEARTBEATS
 from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
@@ -12,6 +11,7 @@
     Seek,
     TargetState,
 )
+from ibisshunt.coordination.forwarding.own_target import MISSED_HEARTBEATS
 from ibisshunt.coordination.forwarding.placed import Flow
 from ibisshunt.coordination.forwarding.placement import LOST_SECONDS
 from ibisshunt.coordination.forwarding.search import start_search
--- a/tests/coordination/forwarding/test_resets.py
+++ b/tests/coordination/forwarding/test_resets.py
@@ -30,7 +30,7 @@
 def make_young_agent(world):
     """Return an agent that started after its target and has not heard it yet."""
     agent = world.make_agent()
-    assert not agent.knows_all(world.now)
+    assert not agent.held.knows_all(world.now)
     return agent
 
 
--- a/tests/platform/test_endpoint.py
+++ b/tests/platform/test_endpoint.py
@@ -63,7 +63,12 @@
 def look(task):
     """Return what a heartbeat could change."""
     found = task.agent
-    return found.state, found.present, found._announced_at, found._incarnations._ended
+    return (
+        found.state,
+        found.present,
+        found.target.announced_at,
+        found.target.incarnations._ended,
+    )
 
 
 def send(handle, body, path=PATH):
