Let comments give the reason of a constant, not where its value comes from

The name has the unit; a few words of reason stay where a reader would wonder. Comments alone are changed.

--- a/ibisshunt/components/directory/archive.py
+++ b/ibisshunt/components/directory/archive.py
@@ -16,8 +16,7 @@
 from .inner import InnerSocket
 
 PREFIX = "flows-"
-# How often entries are written. Unit: seconds. Source: what came since is lost with the
-# power; one write and sync serves all balancers.
+# What came since the last write is lost with the power.
 SAVE_SECONDS = 0.25
 Run = Callable[[Callable[..., Any], tuple[Any, ...]], Any]
 
--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -15,12 +15,9 @@
 from .inner import InnerSocket
 from .known import DirectoryFiles, PackedVersion
 
-# How often nodes that hold an older version are told again. Unit: seconds. Source: a
-# datagram or two may be lost, and all must know within 3 s.
+# How often nodes that hold an older version are told again: datagrams may be lost.
 TELL_SECONDS = 0.25
-# How often nodes and configuration are written when they have changed. Unit: seconds.
-# Source: one write for all nodes that a fleet's start brings, or for a series of
-# configurations.
+# One write for all nodes that a fleet's start brings, or a series of configurations.
 SAVE_SECONDS = 0.5
 
 
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -22,21 +22,19 @@
 from ...helpers.logging import log_event, warn_event
 from .inner import InnerSocket
 
-# How often a node introduces itself. Unit: seconds. Source: a lost notice of a new
-# configuration is mended within 3 s even when two of these are lost as well.
+# How often a node introduces itself; its answer also mends a lost notice of a new
+# configuration.
 HELLO_SECONDS = 0.7
-# How often while it knows nobody. Unit: seconds. Source: a start should take less
-# than a second once a control host answers.
+# The same while it knows no control host.
 FIRST_HELLO_SECONDS = 0.1
 TICK_SECONDS = 0.1
-# How often, and at which interval, a node that goes for good says so. Unit: times,
-# seconds. Source: two datagrams in a row are seldom lost; a stop takes as long anyway.
+# How often, and at which interval, a node that goes for good says so.
 LEAVE_TIMES = 2
 LEAVE_SECONDS = 0.05
 # How many of the nodes that were learned together a log line names: a line for each
 # would take a thin host longer than to meet them.
 FIRST_NAMED = 3
-# A control host was heard lately. Unit: seconds. Source: three introductions.
+# How long after its last answer a control host counts as heard: three introductions.
 IN_TOUCH_SECONDS = 2.2
 
 
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -34,21 +34,16 @@
 from ..directory.inner import InnerSocket
 from .agent_samples import list_agent_samples
 
-# How often balancers hear of the target. Unit: seconds. Source: loads change with
-# each flow; a target that is silent for three of these is left out.
+# How often balancers hear of the target.
 STATUS_SECONDS = 0.4
-# How soon balancers hear that the requests at work have changed by a slot or more.
-# Unit: seconds, and seconds for each balancer. Source: balancers place a flow every
-# few milliseconds when load is high; the second bounds what all agents together send
-# to one thin balancer (25 balancers, 64 agents: 320 statuses a second).
+# How soon balancers hear that the requests at work have changed by a slot or more. The
+# part for each balancer bounds what all agents together send to a thin one.
 CHANGE_SECONDS = 0.08
 CHANGE_SECONDS_EACH = 0.008
 TICK_SECONDS = 0.04
-# How often gathered answers are looked at while any are gathered. Unit: seconds.
-# Source: half of the time for which answers are waited for.
+# How often gathered answers are looked at while any are gathered.
 GATHER_TICK_SECONDS = 0.01
-# How long a stop waits for the requests at work. Unit: seconds. Source: a stop may
-# take 6 s at most; requests take some hundred milliseconds.
+# How long a stop waits for the requests at work.
 STOP_SECONDS = 2.0
 
 
--- a/ibisshunt/components/forwarding/agent_samples.py
+++ b/ibisshunt/components/forwarding/agent_samples.py
@@ -1,7 +1,6 @@
 """Give the counters of an agent as samples for the metrics page.
 
-Apart from a balancer's: an agent's start would else import all that a balancer decides,
-a seventh of its imports (measured with ``python -X importtime``).
+Apart from a balancer's: an agent's start would else import all that a balancer decides.
 """
 
 from collections.abc import Iterator
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -28,16 +28,14 @@
 from ..directory.inner import InnerSocket
 from .balancer_samples import list_balancer_samples
 
-# How often searches go on and old flows are forgotten. Unit: seconds. Source: below
-# the interval at which a search is asked again.
+# How often searches go on and old flows are forgotten.
 SWEEP_SECONDS = 0.02
 IDLE_SWEEP_SECONDS = 0.1
-# A balancer that stops forwards until callers have left it for this long. Unit:
-# seconds. Source: a few packets of each open flow would come in it.
+# A balancer that stops forwards until callers have left it for this long: a few packets
+# of each open flow would come in it.
 QUIET_SECONDS = 0.4
-# How long it goes on at least and at most. Unit: seconds. Source: routers ask twice a
-# second and leave a node out after two misses, but use all nodes of a zone when fewer
-# than half are in rotation; a process is killed 6 s after it was asked to stop.
+# How long it goes on at least and at most. Routers leave a host out after two misses of
+# a probe, but use all hosts of a domain when too few are in rotation.
 LEAVE_SECONDS = 1.3
 STOP_SECONDS = 5.0
 
--- a/ibisshunt/components/forwarding/checkpoints.py
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -12,13 +12,11 @@
 from ...helpers.logging import log_event
 from ..directory.inner import InnerSocket
 
-# How often entries are sent. Unit: seconds. Source: flows that opened since are not
-# known after an outage; a message of 48 entries has 1.2 kB.
+# How often entries are sent; flows that opened since are not known after an outage.
 SEND_SECONDS = 0.25
-# How often the former run's flows are asked for. Unit: seconds. Source: each control
-# host that has just come back is asked within some round trips.
+# How often it is looked at who has yet to tell the former run's flows.
 ASK_SECONDS = 0.02
-# Control hosts that keep an entry. Source: one may lose its disk with all power.
+# Control hosts that keep an entry: one may lose its disk with all power.
 COPIES = 2
 
 
--- a/ibisshunt/components/storage/files.py
+++ b/ibisshunt/components/storage/files.py
@@ -13,8 +13,7 @@
 
 LOCK_NAME = "lock"
 TEMPORARY_SUFFIX = ".tmp"
-# How often a write to a full disk is tried again. Unit: seconds. Source: the host is
-# out of service meanwhile, and a heartbeat of consensus takes 0.2 s.
+# How often a write to a full disk is tried again; the host is out of service meanwhile.
 FULL_PAUSE_SECONDS = 0.1
 Run = Callable[[Callable[..., Any], tuple[Any, ...]], Any]
 Pause = Callable[[float], None]
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -25,19 +25,16 @@
 from ..consensus import Options, ReplicatedLog, StateMachine
 from ..consensus.report import list_samples
 
-# How long a change or a read may take. Unit: seconds. Source: callers go to another
-# host after a second without an answer.
+# How long a change or a read may take: callers then go to another host.
 ANSWER_SECONDS = 0.9
 # How often the leader speaks, and how long it may be silent before others stand (up to
-# twice that). Unit: seconds. Source: four heartbeats; hosts are 0.5-1.5 ms apart, a
-# sync takes 2 ms and one of a slow disk 60 ms.
+# twice that).
 HEARTBEAT_SECONDS = 0.15
 ELECTION_SECONDS = 0.6
-# How long a host that has just started waits before it stands (up to twice that).
-# Unit: seconds. Source: the hosts of a fleet start within 0.3 s of each other.
+# How long a host that has just started waits before it stands (up to twice that): the
+# others of its fleet start meanwhile.
 FIRST_ELECTION_SECONDS = 0.1
-# Bytes that stay free on the disk. Source: some tens of the largest configurations,
-# so that entries of other leaders still fit on a disk of 128 MB.
+# Bytes that stay free on the disk, so that entries of other leaders still fit.
 RESERVED_BYTES = 8 * 1024 * 1024
 
 
--- a/ibisshunt/components/web/__init__.py
+++ b/ibisshunt/components/web/__init__.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-# A request that does not fit is refused before it is read. Unit: bytes. Source: a
-# configuration of a few thousand routes.
+# A request that does not fit is refused before it is read.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
--- a/ibisshunt/components/web/small.py
+++ b/ibisshunt/components/web/small.py
@@ -13,11 +13,10 @@
 from ...model.address import Address
 from . import TOO_LARGE, Handle, WebReply, WebRequest
 
-# Limits of one request. Unit: bytes. Source: a heartbeat has some 200.
+# Limits of one request.
 MAX_HEAD_BYTES = 8 * 1024
 MAX_SMALL_BODY_BYTES = 16 * 1024
-# A connection without a whole request for this long is closed. Unit: seconds. Source:
-# callers give up after one second and may keep a connection for a few heartbeats.
+# A connection without a whole request for this long is closed.
 IDLE_SECONDS = 10.0
 HEAD_END = b"\r\n\r\n"
 BAD_REQUEST = WebReply("400 Bad Request")
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -4,11 +4,10 @@
 
 from .messages import Hello, NodeRole, Welcome
 
-# How long a node is kept that no control host lists any more. Unit: seconds. Source:
-# the longest time without control that is planned for, a cut of half a minute.
+# How long a node is kept that no control host lists any more, as while control is cut
+# off.
 UNLISTED_SECONDS = 40.0
-# How long a control host is asked that is neither listed nor in the settings. Unit:
-# seconds. Source: as above.
+# How long a control host is asked that is neither listed nor in the settings.
 CONTROL_SECONDS = 40.0
 
 
--- a/ibisshunt/coordination/directory/download.py
+++ b/ibisshunt/coordination/directory/download.py
@@ -5,12 +5,11 @@
 
 from .messages import Fetch, Piece
 
-# Bytes of one piece. Source: what fits a packet of the usual size with its head.
+# What fits a packet of the usual size with its head.
 PIECE_BYTES = 1_200
-# Pieces sent for one request. Source: 10 kB at once, 37 ms on a link of 2.2 Mbit/s.
+# Pieces sent for one request, as many as a thin link takes at once.
 WINDOW = 8
-# How long a provider may be silent. Unit: seconds. Source: many round trips, and the
-# time that a window takes on a slow link.
+# How long a provider may be silent before another is asked.
 SILENT_SECONDS = 0.25
 
 
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -8,16 +8,13 @@
 
 from .messages import Hello, NodeRole, Welcome
 
-# A node that was silent this long is left out. Unit: seconds. Source: ten missed
-# introductions; longer than a restart, so that a list does not change at each.
+# A node that was silent this long is left out: longer than a restart, so that a list
+# does not change at each.
 NODE_SECONDS = 8.0
-# How long a node of the former run may take to introduce itself again. Unit: seconds.
-# Source: the hosts of a fleet start within 0.3 s of each other, programs in less than a
-# second, and a node that knows no control host speaks each 0.1 s.
+# How long a node of the former run may take to introduce itself again.
 CONFIRM_SECONDS = 1.0
-# How long a control host must have run before its lists are whole. Unit: seconds.
-# Source: two introductions of each node (0.7 s, a fifth more at most), so that one of
-# them may be lost.
+# How long a control host must have run before its lists are whole: two introductions of
+# each node, so that one of them may be lost.
 SETTLE_SECONDS = 1.7
 
 
--- a/ibisshunt/coordination/forwarding/addresses.py
+++ b/ibisshunt/coordination/forwarding/addresses.py
@@ -4,8 +4,7 @@
 from functools import lru_cache
 
 ADDRESS_BYTES = 4
-# Addresses that are kept in both forms. Source: above the agents of the largest system
-# that this is designed for (6,400), at some hundred bytes each.
+# Addresses that are kept in both forms.
 MAX_KEPT = 8_192
 
 
--- a/ibisshunt/coordination/forwarding/admission.py
+++ b/ibisshunt/coordination/forwarding/admission.py
@@ -15,15 +15,14 @@
 from .routes import Route
 from .segment import Segment
 
-# How long an opening packet waits at most, counted from the caller's first copy. Unit:
-# seconds. Source: a caller gives an opening up after 1.4 s; a restart takes 1-2 s.
+# How long an opening packet waits at most, counted from the caller's first copy: a
+# caller gives an opening up a little later.
 HOLD_SECONDS = 1.0
-# The share of a route's timeout after which a late flow waits no more for a free slot.
-# No unit. Source: the other half is left for the queue of a target and for the answer.
+# The share of a route's timeout after which a late flow waits no more for a free slot;
+# the rest is left for the queue of a target and for the answer.
 LATE_SHARE = 0.5
-# How many agents may refuse a young flow because their load is above what was believed.
-# Unit: agents. Source: each costs a round trip of some milliseconds; after two all
-# targets are loaded more than their last words say.
+# How many agents may refuse a young flow because their load is above what was believed:
+# after that, all targets are loaded more than their last words say.
 MAX_CORRECTIONS = 2
 MAX_HELD_OPENINGS = 2_000
 
--- a/ibisshunt/coordination/forwarding/archive.py
+++ b/ibisshunt/coordination/forwarding/archive.py
@@ -14,15 +14,14 @@
 )
 from .messages import Recalled
 
-# How long entries go into one generation, which is one file. Unit: seconds. Source: a
-# flow lives for 60 s, so that three of these hold each open flow.
+# How long entries go into one generation, which is one file: half of the longest life
+# of a flow, so that three of them hold each open flow.
 GENERATION_SECONDS = 30.0
 GENERATIONS = 3
-# Messages for one question. Source: as for the pieces of a configuration, 10 kB.
+# Messages for one question, as many as a thin link takes at once.
 WINDOW = 8
-# Flows that are taken in one generation, of all balancers. Source: three generations of
-# 290 bytes a flow (measured) are 30 MB of the 128 MB of a control host; what is above
-# is not noted, and its callers hear of an end when they use their flows.
+# Flows that are taken in one generation, of all balancers. What is above is not noted,
+# and its callers hear of an end when they use their flows.
 MAX_ENTRIES = 35_000
 
 
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -24,10 +24,9 @@
 from .silence import SilenceWatch
 from .state import BalancerState
 
-# How long a flow without packets is remembered. Unit: seconds. Source: twice the
-# longest pause after which a flow may be discarded (15 s); the agents know it anyway.
+# How long a flow without packets is remembered; the agents know it anyway.
 FLOW_IDLE_SECONDS = 30.0
-# Flows in one message between balancers. Source: what fits a packet of usual size.
+# Flows in one message between balancers: what fits a packet of usual size.
 FLOWS_PER_MESSAGE = 40
 
 Action = Send | Reset
--- a/ibisshunt/coordination/forwarding/checkpoint.py
+++ b/ibisshunt/coordination/forwarding/checkpoint.py
@@ -18,18 +18,17 @@
 # Key, the caller's last acknowledgement, the target's address, its incarnation.
 _ENTRY = Struct(">12sI4sI")
 ENTRY_BYTES = _ENTRY.size
-# Entries in one message. Source: what fits a packet of usual size.
+# What fits a packet of usual size.
 ENTRIES_PER_MESSAGE = 48
-# How old a flow is that is noted. Unit: seconds. Source: flows of a single request are
-# mostly over by then, and need no note.
+# How old a flow is that is noted: flows of a single request are mostly over by then.
 NOTED_AFTER_SECONDS = 0.25
-# How far a caller's acknowledgement may move before its flow is noted again. Unit:
-# bytes. Source: half of the span in which a caller believes a reset (76,800).
+# How far a caller's acknowledgement may move, in bytes, before its flow is noted again:
+# half of the span in which a caller believes a reset.
 NOTED_SPAN = 38_400
 # The incarnation of an entry that tells of a flow's end.
 ENDED = 0
-# How long an entry waits for the word of its target's agent. Unit: seconds. Source:
-# hosts are back within some seconds of each other; later packets find the flow's end.
+# How long an entry waits for the word of its target's agent; later packets find the
+# flow's end.
 SETTLE_SECONDS = 10.0
 
 
--- a/ibisshunt/coordination/forwarding/ending.py
+++ b/ibisshunt/coordination/forwarding/ending.py
@@ -8,16 +8,13 @@
 from .searching import Searches
 from .state import BalancerState
 
-# How many flows of a target that has ended are asked for at each sweep. Unit: flows.
-# Source: 50 sweeps a second while any are asked for, so 250 flows a second; each costs
-# a question and an answer of some 100 bytes on the balancer's link.
+# How many flows of a target that has ended are asked for at each sweep, for the
+# balancer's link.
 DOUBTS_PER_SWEEP = 5
-# How many flows of the former run are reset at each sweep. Unit: flows. Source: 50
-# sweeps a second while any are left, so 1,000 flows a second; a reset has 31 bytes.
+# How many flows of the former run are reset at each sweep.
 RESETS_PER_SWEEP = 20
-# How long after its last word the flows of a target are left alone. Unit: seconds.
-# Source: it ends after that word has been answered, and a flow must not be reset while
-# its target runs; a process ends within some tens of milliseconds.
+# How long after its last word the flows of a target are left alone: it ends after that
+# word has been answered, and a flow must not be reset while its target runs.
 LEAVING_SECONDS = 0.5
 
 Action = Send | Reset
--- a/ibisshunt/coordination/forwarding/gathering.py
+++ b/ibisshunt/coordination/forwarding/gathering.py
@@ -1,9 +1,9 @@
 """Gather, at one agent, what other agents answer to a balancer's question.
 
 The load it answers: after an outage every caller goes on with a flow that has ended.
-When 64 agents each answered the balancer themselves, the answers about some hundred
-flows filled its link of 2.6 Mbit/s and its processor for ten seconds, and new flows
-came to nothing meanwhile. Agents have neither a thin link nor many questions each.
+When each agent answers the balancer itself, the answers about all these flows fill its
+thin link and its processor, and new flows come to nothing meanwhile. Agents have
+neither a thin link nor many questions each.
 """
 
 from collections import Counter
@@ -13,13 +13,10 @@
 from .addresses import pack_addresses
 from .messages import Answer, Gathered, Send, Told
 
-# How long answers are waited for before those that are there go to the balancer. Unit:
-# seconds. Source: two ways between hosts of 1.5 ms and a target that sends a probe
-# back, with a margin for a host that is busy; below the pause after which a balancer
-# asks again (60 ms).
+# How long answers are waited for before those that are there go to the balancer; below
+# the pause after which it asks again.
 GATHER_SECONDS = 0.02
-# How long an answer that is late is still sent on. Unit: seconds. Source: twice the
-# longest pause after which a balancer asks again.
+# How long an answer that is late is still sent on.
 LATE_SECONDS = 1.0
 # Answers that no other agent's answer can make void: the balancer gets them at once.
 FINAL = (Answer.HELD, Answer.KEPT)
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -53,7 +53,7 @@
     FULL = 4
 
 
-# A load that no target has. Unit: requests.
+# A load that no target has, in requests.
 NO_LIMIT = 1 << 30
 
 
--- a/ibisshunt/coordination/forwarding/opening.py
+++ b/ibisshunt/coordination/forwarding/opening.py
@@ -11,8 +11,7 @@
 from .segment import Segment
 from .state import BalancerState
 
-# How many targets a new flow is offered before it is refused. Unit: targets. Source:
-# each costs the caller a round trip of some milliseconds; more than this are only
+# How many targets a new flow is offered before it is refused: more than this are only
 # full together, when a refusal serves the caller better than another try.
 MAX_OFFERS = 6
 
--- a/ibisshunt/coordination/forwarding/placed.py
+++ b/ibisshunt/coordination/forwarding/placed.py
@@ -7,9 +7,8 @@
 from .messages import Reason
 from .segment import Segment, is_later
 
-# How soon a caller repeats what was not acknowledged, at least. Unit: seconds. Source:
-# the platform's 200 ms, less what a packet may be delayed; copies of one packet that
-# the network doubled come within some milliseconds.
+# How soon a caller repeats what was not acknowledged, at least; copies that the network
+# made come sooner.
 REPEAT_SECONDS = 0.15
 
 
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placement.py
@@ -6,49 +6,42 @@
 
 from .messages import Status, TargetState
 
-# A target whose agent was silent this long gets new flows only when there is nobody
-# else. Unit: seconds. Source: three statuses in a row lost (STATUS_SECONDS 0.4).
+# A target whose agent was silent this long, for three statuses, gets new flows only
+# when there is nobody else.
 SILENT_SECONDS = 1.3
-# A target whose agent was heard within this time is not doubted. Unit: seconds. Source:
-# pings would tell nothing newer than its last word, but for some round trips.
+# A target whose agent was heard within this time is not doubted: pings would tell
+# nothing newer.
 FRESH_SECONDS = 0.1
-# A target whose agent was silent this long is pinged though no caller complains. Unit:
-# seconds. Source: one status and a half (STATUS_SECONDS 0.4).
+# A target whose agent was silent this long is pinged though no caller complains: one
+# status and a half.
 QUIET_SECONDS = 0.6
-# A target whose agent was silent this long and said nothing of a pause is lost.
-# Unit: seconds. Source: four statuses in a row; loss of four in a row at 10% is 1e-4.
+# A target whose agent was silent this long, for four statuses, and said nothing of a
+# pause is lost.
 LOST_SECONDS = 1.7
 # How long a pause that was announced may last, the stop and the start of an agent.
-# Unit: seconds. Source: a stop takes at most 6 s, a start 1-2 s.
 PAUSE_SECONDS = 9.0
-# How long a target that is silent or absent is worth waiting for. Unit: seconds.
-# Source: a process that was killed is back after 2-3 s.
+# How long a target that is silent or absent is worth waiting for.
 RETURN_SECONDS = 4.0
 # How long a silent agent is remembered at all, for flows that it may still hold.
-# Unit: seconds. Source: above the longest cut seen (8 s).
 FORGET_SECONDS = 20.0
-# What an open flow without a request adds to a target's load, in requests. Unit:
-# requests a flow. Source: a long flow is idle for about nine tenths of its time.
+# What an open flow without a request adds to a target's load, in requests.
 IDLE_FLOW_LOAD = 0.1
-# Time of service assumed of a target that has answered nothing yet. Unit: seconds.
-# Source: the middle of the present services (5-62 ms).
+# Time of service assumed of a target that has answered nothing yet.
 UNKNOWN_SERVICE_SECONDS = 0.03
-# How long a flow that was placed may not show in its target's word yet. Unit: seconds.
-# Source: the handshake and the request take some round trips.
+# How long a flow that was placed may not show in its target's word yet.
 UNTOLD_SECONDS = 0.02
 # How much of a target's speed goes into the queue that its last word told of; the rest
-# goes to requests that came since. No unit. Source: targets run at half of what they
-# can do on an ordinary day.
+# goes to requests that came since.
 DRAIN_SHARE = 0.5
 # How much more load a target in the balancer's own failure domain may have than another
 # and still be preferred, in requests per slot: ten idle flows.
 NEAR_EXTRA_LOAD = 1.0
-# Factor on the load of a target that is still cold. Source: twice as slow at most.
+# Factor on the load of a target that is still cold.
 COLD_FACTOR = 1.8
 
 
-# Which share of failures, above twice the median of the service, keeps new flows away.
-# Unit: percent. Source: above one failure in the last ten answers, which is chance.
+# Which share of failures, above twice the median of the service, keeps new flows away:
+# more than one failure in the last ten answers, which is chance.
 FAILING_PERCENT = 15
 
 
--- a/ibisshunt/coordination/forwarding/recollection.py
+++ b/ibisshunt/coordination/forwarding/recollection.py
@@ -7,11 +7,9 @@
 from .checkpoint import ENTRIES_PER_MESSAGE, FlowEntry, unpack_entries
 from .messages import Recall, Recalled
 
-# How soon a control host that has not answered is asked again. Unit: seconds. Source:
-# many round trips, and the time that a window of answers takes on a slow link.
+# How soon a control host that has not answered is asked again.
 AGAIN_SECONDS = 0.25
-# How long after its start a balancer asks. Unit: seconds. Source: control hosts of a
-# fleet that restarts are back before its callers have given up their flows.
+# How long after its start a balancer asks.
 ASKING_SECONDS = 10.0
 
 
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/requests.py
@@ -7,22 +7,19 @@
 
 RESPONSE_MARK = b"HTTP/1.1 "
 REQUEST_ID_MARK = b"\r\nX-Request-Id: "
-# Weight of the newest request in the mean time of service. No unit. Source: the mean
-# of about the last ten.
+# Weight of the newest request in the mean time of service.
 MEAN_WEIGHT = 0.1
-# Weight of the newest answer in the share of failures. No unit. Source: as above.
+# Weight of the newest answer in the share of failures.
 FAILING_WEIGHT = 0.1
-# In which time a share of failures halves when nothing is answered, so that a target
-# that is left out is tried again. Unit: seconds. Source: endpoints fail for 3-8 s.
+# In which time, in seconds, a share of failures halves when nothing is answered, so
+# that a target that is left out is tried again.
 FAILING_HALF_LIFE = 2.0
 FIRST_FAILURE_STATUS = 500
 # A request without an answer for this long does not count as load any more: its caller
-# has given it up, or it was lost. Unit: seconds. Source: the longest time in a slow
-# target behind its full queue, with a margin; a route's timeout goes first.
+# has given it up, or it was lost. A route's timeout goes first.
 UNANSWERED_SECONDS = 2.5
 # A request has been left out by its target once so many rounds of later ones were
-# answered. Unit: rounds of all slots. Source: a target takes requests in turn; one that
-# takes six times as long as the mean is overtaken by five in each other slot.
+# answered: a target takes requests in turn.
 OVERTAKEN_ROUNDS = 5
 HALF_SPACE = SEQUENCE_SPACE // 2
 
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/search.py
@@ -9,25 +9,20 @@
 from .routes import make_tag
 from .segment import Segment
 
-# Packets of one flow that wait for the answer. Unit: packets. Source: an end has at
-# most 16 packets in flight.
+# Packets of one flow that wait for the answer: as many as an end has in flight.
 MAX_HELD = 16
-# How often a flow's targets are probed before the first that kept silent is believed.
-# Source: three datagrams in a row are not lost on any link that still works.
+# How often a flow's targets are probed before the first that kept silent is believed:
+# three datagrams in a row are not lost on any link that still works.
 MAX_PROBES = 3
-# How soon agents that have not answered are asked again; each time twice as long.
-# Unit: seconds. Source: many round trips, and shorter than a caller's first repeat
-# (200 ms). Without the growth the questions of thirty flows to eighty agents filled an
-# entry host's link of 2.2 Mbit/s, and no answer came through.
+# How soon agents that have not answered are asked again; each time twice as long, so
+# that questions about many flows leave room for their answers on a thin link.
 FIRST_PAUSE_SECONDS = 0.06
 # States in which a target holds no flows.
 WITHOUT_FLOWS = (TargetState.GONE, TargetState.DEAD)
-# The longest pause. Unit: seconds. Source: shorter than the repeats that a caller still
-# has time for (0.8 s), so that a flow goes on with the next of them.
+# The longest pause: shorter than the repeats that a caller still has time for.
 LONGEST_PAUSE_SECONDS = 0.5
-# How often a search is looked at when nothing has come. Unit: seconds. Source: targets
-# become lost or known meanwhile, which need not be seen sooner; each look goes through
-# all agents, and at 20 ms some hundred searches took half of a thin host's processor.
+# How often a search is looked at when nothing has come: each look goes through all
+# agents.
 CHECK_SECONDS = 0.1
 
 
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching.py
@@ -19,24 +19,19 @@
 from .state import BalancerState
 
 # How long the balancers of the same failure domain have to answer before agents are
-# asked. Unit: seconds. Source: round trips inside a domain take well under one
-# millisecond; a thin host answers within some.
+# asked.
 PEER_SECONDS = 0.012
-# How long a probed target has to send a packet back that it does not hold. Unit:
-# seconds. Source: the time for which answers are gathered (20 ms) and some round
-# trips, on a link that others use too.
+# How long a probed target has to send a packet back that it does not hold: longer than
+# answers are gathered.
 PROBE_SECONDS = 0.05
-# How long a flow is looked for while agents are silent. Unit: seconds. Source: an agent
-# counts as lost after 1.7 s; the caller is then told at once, without having to repeat
-# its packet, which it does less and less often (each 1.6 s in the end).
+# How long a flow is looked for while agents are silent: longer than it takes for one to
+# count as lost, so that the caller is then told without having to repeat its packet.
 SEARCH_SECONDS = 4.0
 MAX_SEARCHES = 20_000
 # How often an agent is drawn that spreads a question, before all are gone through.
-# Source: with half of the agents silent, one draw in 256 finds none.
 RELAY_DRAWS = 8
-# How long after its start a balancer lets agents probe without asking first. Unit:
-# seconds. Source: callers send on the flows that ended with a fleet's power within
-# their timeouts, 0.5-8 s; most do in the first half.
+# How long after its start a balancer lets agents probe without asking first: most flows
+# that ended with a fleet's power are used once more within it.
 YOUNG_SECONDS = 5.0
 
 Action = Send | Reset
@@ -193,9 +188,9 @@
     ) -> list[Action]:
         """Send one question to many agents through one of them, which gathers answers.
 
-        The questions about a hundred flows to eighty agents, sent from here, kept a
-        link of 2.2 Mbit/s full for good: no new flow got through, callers repeated
-        their packets, and each repeat asked again.
+        Sent to each agent from here, the questions about many lost flows keep a thin
+        link full: no new flow gets through, callers repeat their packets, and each
+        repeat asks again.
         """
         relay = self._draw_relay(now)
         if relay is None:
--- a/ibisshunt/coordination/forwarding/targets.py
+++ b/ibisshunt/coordination/forwarding/targets.py
@@ -5,14 +5,13 @@
 from .messages import Status
 from .placement import FORGET_SECONDS, Target
 
-# How late a status may be. Unit: seconds. Source: links between hosts take some
-# milliseconds; statuses come every 0.4 s.
+# How late a status may be.
 LATE_SECONDS = 0.35
-# How long after its start a balancer may not yet know all targets. Unit: seconds.
-# Source: three introductions to control and the statuses that they bring.
+# How long after its start a balancer may not yet know all targets: three introductions
+# to control and the statuses that they bring.
 LEARN_SECONDS = 2.5
-# How long a target that was listed, but has not spoken, counts as one that may hold
-# a flow. Unit: seconds. Source: as for one that falls silent, and its way here.
+# How long a target that was listed, but has not spoken, counts as one that may hold a
+# flow.
 EXPECT_SECONDS = 3.0
 # How long a balancer that has just started waits for the words of more targets before
 # it places flows: from the last new one on, and from the first one on at most. All
--- a/ibisshunt/coordination/forwarding/waiting.py
+++ b/ibisshunt/coordination/forwarding/waiting.py
@@ -1,10 +1,9 @@
 """Keep the balancers that wait for a slot of one target."""
 
-# How long a balancer whose flow was sent back is told of the next free slot. Unit:
-# seconds. Source: as long as it may keep the flow.
+# How long a balancer whose flow was sent back is told of the next free slot: as long as
+# it may keep the flow.
 WAITING_SECONDS = 1.0
-# How long a balancer that was told may take to send a flow. Unit: seconds. Source: two
-# ways between hosts, of some milliseconds each.
+# How long a balancer that was told may take to send a flow.
 PROMISED_SECONDS = 0.03
 
 
--- a/ibisshunt/helpers/decisions.py
+++ b/ibisshunt/helpers/decisions.py
@@ -6,12 +6,10 @@
 from .clock import read_clock
 from .logging import format_event, log_event, log_line
 
-# Lines a second of one process; what is above is counted. Source: a line costs some
-# 30 microseconds, so that this many stay under 0.5% of a small host's core.
+# Lines a second of one process, for a small host's processor; what is above is counted.
 LINES_PER_SECOND = 40
-# Lines that may come at once. Source: a quarter of a second's lines, so that a burst
-# leaves lines for what comes later in the same second: with all of them spent at once
-# nothing told of the second after an outage.
+# Lines that may come at once: a burst must leave some for what comes later in the same
+# second.
 LINES_AT_ONCE = 10
 SUMMARY_SECONDS = 5.0
 
--- a/ibisshunt/helpers/early.py
+++ b/ibisshunt/helpers/early.py
@@ -8,10 +8,9 @@
 
 import socket
 
-# Bytes that wait at a datagram socket at most. Source: a quarter of a second of the
-# packets of the fastest host.
+# Bytes that wait at a datagram socket at most.
 BUFFER_BYTES = 4 * 1024 * 1024
-# Connections that wait to be accepted. Source: the few that call a thin host at once.
+# Connections that wait to be accepted.
 BACKLOG = 64
 
 Pair = tuple[str, int]
--- a/ibisshunt/helpers/imports.py
+++ b/ibisshunt/helpers/imports.py
@@ -5,8 +5,8 @@
 
 import gevent
 
-# How long other tasks may run between two modules. Unit: seconds. Source: a turn of
-# the event loop, in which it looks at sockets; without a pause it does not.
+# How long other tasks may run between two modules: without a pause the event loop does
+# not look at sockets.
 TURN_SECONDS = 0.001
 
 
--- a/ibisshunt/helpers/samples.py
+++ b/ibisshunt/helpers/samples.py
@@ -23,8 +23,7 @@
     value: float = 0.0
 
 
-# Upper ends of the buckets of a latency histogram. Unit: seconds. Source: from one
-# round trip between hosts to the longest time that a caller waits.
+# Upper ends of the buckets of a latency histogram, in seconds.
 LATENCY_BOUNDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
--- a/ibisshunt/platform/packet.py
+++ b/ibisshunt/platform/packet.py
@@ -12,8 +12,8 @@
 _ECHO = slice(15, 19)
 HEAD_BYTES = _HEAD.size
 SYN, ACK, FIN, RST, BOUNCED = 64, 4, 128, 8, 2
-# When a caller sends the copies of an opening packet, which ``ack`` counts there. Unit:
-# seconds after the first. Source: the platform's page on flows.
+# When a caller sends the copies of an opening packet, after the first; ``ack`` counts
+# them there.
 _COPY_SECONDS = (0.0, 0.2, 0.6)
 
 
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -15,8 +15,7 @@
 from .configuration import read_configuration
 from .packet import CODEC
 
-# Where each process shows its metrics. Source: the port that exporters of metrics use
-# by custom; the deploy file names it to the platform.
+# Where each process shows its metrics; the deploy file names it to the platform.
 METRICS_PORT = 9464
 # What the replicated log needs, in parts that each take some milliseconds to load.
 _LOG_MODULES = (
--- a/ibisshunt/platform/reloading.py
+++ b/ibisshunt/platform/reloading.py
@@ -11,8 +11,7 @@
 from .programs import RELOAD
 from .settings import read_settings
 
-# How often the file is looked at. Unit: seconds. Source: it may change without a
-# signal, and seeds lag by some seconds anyway.
+# How often the file is looked at: it may change without a signal.
 LOOK_SECONDS = 1.0
 
 
--- a/ibisshunt/protocol/framed.py
+++ b/ibisshunt/protocol/framed.py
@@ -24,8 +24,7 @@
 _LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 CONNECT_SECONDS = 1.0
-# A connection may fall silent for good without a reset. Unit: milliseconds. Source:
-# two missed heartbeats of consensus and a wide margin; each call has a timeout too.
+# A connection may fall silent for good without a reset.
 USER_TIMEOUT_MILLISECONDS = 2_000
 
 
--- a/ibisshunt/protocol/rpc.py
+++ b/ibisshunt/protocol/rpc.py
@@ -14,14 +14,13 @@
 from .method import SERVICE_NAME, Method
 
 # How long a connection may bring nothing before its peer is asked for a sign of life,
-# and how long that may take. Unit: seconds. Source: together below a lease, so that a
-# node whose connection went silent has a new one before its lease ends.
+# and how long that may take: together below a lease, so that a node whose connection
+# went silent has a new one before its lease ends.
 KEEPALIVE_SECONDS = LEASE_SECONDS / 2
 KEEPALIVE_TIMEOUT_SECONDS = LEASE_SECONDS / 3
 
-# How long an attempt to connect may take. Unit: seconds. Source: half of a node's
-# heartbeat (2 s), so that a dark host is left for the next one before a lease ends; ten
-# times what a TLS handshake took on a busy machine.
+# How long an attempt to connect may take: a dark host is left for the next one before a
+# lease ends.
 CONNECT_SECONDS = HEARTBEAT_SECONDS / 2
 
 CHANNEL_OPTIONS = (
