Count the messages between nodes by kind, with their bytes, on the metrics page

Which kind fills a thin host's link, or grows with the product of balancers and agents, could only be worked out from sizes and intervals.

--- a/ibisshunt/components/directory/inner.py
+++ b/ibisshunt/components/directory/inner.py
@@ -1,6 +1,6 @@
 """Send and receive typed messages between nodes as datagrams."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterator
 from typing import Any
 
 import msgspec
@@ -32,7 +32,9 @@
 )
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.logging import warn_event
+from ...helpers.samples import Sample
 from ...model.address import Address
+from .message_counts import MessageCounts
 
 Message = (
     Deliver
@@ -74,6 +76,8 @@
         self._decode = msgspec.msgpack.Decoder(Message).decode
         self.unreadable = 0
         self.unsent = 0
+        self._sent = MessageCounts("sent")
+        self._received = MessageCounts("received")
 
     def handle(self, kind: type, handler: Handler) -> None:
         """Call ``handler`` with the sender's IPv4 address and each such message."""
@@ -83,9 +87,10 @@
         """Send a message without waiting; what the system refuses is lost."""
         self.send_all((peer,), message)
 
-    def send_all(self, peers: Iterable[str], message: Any) -> None:
+    def send_all(self, peers: Collection[str], message: Any) -> None:
         """Send one message to many nodes, as ``send`` does."""
         data = self._encode(message)
+        self._sent.add(type(message), len(peers), len(data))
         for peer in peers:
             try:
                 self._socket.send_to(data, (peer, self._port))
@@ -99,6 +104,11 @@
         if self.unsent & (self.unsent - 1) == 0:
             warn_event("datagram_unsent", peer=peer, error=error, count=self.unsent)
 
+    def list_samples(self) -> Iterator[Sample]:
+        """Yield the samples of the metrics page."""
+        yield from self._sent.list_samples()
+        yield from self._received.list_samples()
+
     def run(self) -> None:
         """Serve until killed."""
         self._socket.serve(self._take)
@@ -120,6 +130,7 @@
                     count=self.unreadable,
                 )
             return
+        self._received.add(type(message), 1, len(data))
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(sender[0], message)
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -1,6 +1,7 @@
 """Assemble the three programs from the product's components."""
 
 from collections.abc import Callable, Iterable
+from itertools import chain
 
 from ..components.directory.inner import InnerSocket
 from ..components.directory.node import NodeDirectory
@@ -32,12 +33,17 @@
 
 
 def _show_metrics(
-    kernel: Kernel, settings: NodeSettings, collect: Callable[[], Iterable[Sample]]
+    kernel: Kernel,
+    settings: NodeSettings,
+    *sources: Callable[[], Iterable[Sample]],
 ) -> None:
     """Serve the metrics page; a process works without it when the port is taken."""
     from ..components.web.metrics import answer_metrics
     from ..components.web.small import SmallServer
 
+    def collect() -> Iterable[Sample]:
+        return chain.from_iterable(source() for source in sources)
+
     address = Address(settings.address, METRICS_PORT)
     server = SmallServer(address, answer_metrics(collect))
     try:
@@ -106,7 +112,7 @@
     kernel.spawn("checkpoints", checkpoints.run_sending)
     kernel.register("directory", directory, dump=directory.dump)
     kernel.register("balancer", task, unload=unload, dump=task.dump)
-    _show_metrics(kernel, settings, task.list_samples)
+    _show_metrics(kernel, settings, task.list_samples, inner.list_samples)
     kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
@@ -154,7 +160,7 @@
         server.stop()
 
     kernel.register("agent", task, unload=unload, dump=task.dump)
-    _show_metrics(kernel, settings, task.list_samples)
+    _show_metrics(kernel, settings, task.list_samples, inner.list_samples)
     kernel.register(RELOAD, directory.contacts.take_seeds)
 
 
@@ -190,7 +196,7 @@
     kernel.register("directory", directory, dump=directory.dump)
     server = serve(settings.control, answer_operator(service))
     kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
-    _show_metrics(kernel, settings, service.list_samples)
+    _show_metrics(kernel, settings, service.list_samples, inner.list_samples)
     kernel.register(RELOAD, service.take_seeds)
 
 
