Group the decisions on packets by the way that they serve

27 modules stood flat in coordination/forwarding: placing (a new flow), holding (an agent's target, flows and requests), searching (a lost flow), silence, restart. Tests mirror it. Moves and imports alone; searching.py is searching/searches.py, silence.py silence/watch.py now.

--- a/examples/silent_host.py
+++ b/examples/silent_host.py
@@ -12,10 +12,10 @@
 from ibisshunt.coordination.forwarding.addresses import unpack_addresses
 from ibisshunt.coordination.forwarding.agent import Agent
 from ibisshunt.coordination.forwarding.balancer import Action, Balancer
-from ibisshunt.coordination.forwarding.gathering import make_gathered
-from ibisshunt.coordination.forwarding.incarnations import Announcement
+from ibisshunt.coordination.forwarding.holding.incarnations import Announcement
 from ibisshunt.coordination.forwarding.messages import Deliver, Ping, Relay, Reset
 from ibisshunt.coordination.forwarding.routes import Route, RouteTable, Share
+from ibisshunt.coordination.forwarding.searching.gathering import make_gathered
 from ibisshunt.coordination.forwarding.segment import Segment
 
 PLACE = bytes((198, 18, 0, 1, 1, 187))
--- a/ibisshunt/components/directory/archive.py
+++ b/ibisshunt/components/directory/archive.py
@@ -6,8 +6,8 @@
 import gevent
 import msgspec
 
-from ...coordination.forwarding.archive import GENERATIONS, FlowArchive
 from ...coordination.forwarding.messages import Noted, Recall
+from ...coordination.forwarding.restart.archive import GENERATIONS, FlowArchive
 from ...exceptions import StorageError
 from ...helpers.clock import read_clock
 from ...helpers.logging import log_event, warn_event
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -8,8 +8,7 @@
 
 from ...coordination.forwarding.addresses import unpack_addresses
 from ...coordination.forwarding.agent import Action, Agent
-from ...coordination.forwarding.gathering import Gatherings
-from ...coordination.forwarding.incarnations import Announcement, Word
+from ...coordination.forwarding.holding.incarnations import Announcement, Word
 from ...coordination.forwarding.messages import (
     Ask,
     Deliver,
@@ -23,6 +22,7 @@
     Told,
     ToTarget,
 )
+from ...coordination.forwarding.searching.gathering import Gatherings
 from ...coordination.forwarding.segment import Segment
 from ...helpers.clock import read_clock
 from ...helpers.datagrams import DatagramSocket
--- a/ibisshunt/components/forwarding/checkpoints.py
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -7,7 +7,7 @@
 
 from ...coordination.forwarding.balancer import Balancer
 from ...coordination.forwarding.messages import Noted, Recalled
-from ...coordination.forwarding.recollection import Recollection
+from ...coordination.forwarding.restart.recollection import Recollection
 from ...helpers.clock import read_clock
 from ...helpers.logging import log_event
 from ..directory.inner import InnerSocket
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 
-from .held import HeldFlow
-from .held_flows import MAX_FLOW_SECONDS, HeldFlows
-from .incarnations import Announcement, Word
+from .holding.held import HeldFlow
+from .holding.held_flows import MAX_FLOW_SECONDS, HeldFlows
+from .holding.incarnations import Announcement, Word
+from .holding.own_target import OwnTarget
+from .holding.probed import ProbedFlows
+from .holding.requests import UNANSWERED_SECONDS, RequestLog
 from .messages import (
     Answer,
     Ask,
@@ -19,12 +22,9 @@
     Told,
     ToTarget,
 )
-from .own_target import OwnTarget
-from .probed import ProbedFlows
-from .requests import UNANSWERED_SECONDS, RequestLog
+from .placing.waiting import WaitingLine
 from .routes import RouteTable, make_tag
 from .segment import Segment
-from .waiting import WaitingLine
 
 # How long a flow that has opened counts as a request that is about to come: the
 # handshake and the request take two round trips to the caller.
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from .checkpoint import FlowEntry
-from .ending import EndedFlows
 from .messages import (
     Answer,
     Gathered,
@@ -15,13 +13,15 @@
     Send,
     Status,
 )
-from .opening import Opener
-from .placed import Flow
-from .placement import Target
+from .placing.opening import Opener
+from .placing.placed import Flow
+from .placing.placement import Target
+from .restart.checkpoint import FlowEntry
+from .restart.ending import EndedFlows
 from .routes import RouteTable
-from .searching import Searches, deliver
+from .searching.searches import Searches, deliver
 from .segment import Segment
-from .silence import SilenceWatch
+from .silence.watch import SilenceWatch
 from .state import BalancerState
 
 # How long a flow without packets is remembered; the agents know it anyway.
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/holding/__init__.py
@@ -0,0 +1,1 @@
+"""Keep, at an agent, its target and the flows and requests there."""
--- a/ibisshunt/coordination/forwarding/held.py
+++ b/ibisshunt/coordination/forwarding/holding/held.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .segment import SEQUENCE_SPACE, Segment, is_later, lies_between
+from ..segment import SEQUENCE_SPACE, Segment, is_later, lies_between
 
 # How far behind the target's newest number a caller's acknowledgement may be when the
 # flow's opening was not seen: far more than what is ever on its way, and so little of
--- a/ibisshunt/coordination/forwarding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -1,9 +1,9 @@
 """Keep the flows that the target beside an agent holds, as far as packets show them."""
 
+from ..messages import Answer, Ask, TargetState
+from ..segment import Segment
 from .held import HeldFlow
-from .messages import Answer, Ask, TargetState
 from .own_target import OwnTarget
-from .segment import Segment
 
 # Flows older than this may be discarded, so an agent that has run for as long has
 # seen each flow of its target.
--- a/ibisshunt/coordination/forwarding/own_target.py
+++ b/ibisshunt/coordination/forwarding/holding/own_target.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from ..messages import TargetState
 from .incarnations import Announcement, Incarnations, Word
-from .messages import TargetState
 
 # A target that has missed so many heartbeats is taken for dead: two may be late
 # together, three are not.
--- a/ibisshunt/coordination/forwarding/probed.py
+++ b/ibisshunt/coordination/forwarding/holding/probed.py
@@ -1,6 +1,6 @@
 """Remember, at an agent, which flows its target is probed for, and by whom."""
 
-from .messages import Answer, Send, Told
+from ..messages import Answer, Send, Told
 
 # How long a probe may take to bounce: many times what a target takes to send a packet
 # back.
--- a/ibisshunt/coordination/forwarding/requests.py
+++ b/ibisshunt/coordination/forwarding/holding/requests.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .segment import SEQUENCE_SPACE, Segment
+from ..segment import SEQUENCE_SPACE, Segment
 
 RESPONSE_MARK = b"HTTP/1.1 "
 REQUEST_ID_MARK = b"\r\nX-Request-Id: "
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which target a new flow goes to, what waits and what is refused."""
--- a/ibisshunt/coordination/forwarding/admission.py
+++ b/ibisshunt/coordination/forwarding/placing/admission.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-from .messages import NO_LIMIT
+from ..messages import NO_LIMIT
+from ..routes import Route
+from ..segment import Segment
 from .placement import Target
-from .routes import Route
-from .segment import Segment
 
 # How long an opening packet waits at most, counted from the caller's first copy: a
 # caller gives an opening up a little later.
--- a/ibisshunt/coordination/forwarding/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
+from ..messages import Deliver, Reset, Send
+from ..routes import Route, choose_service, make_tag
+from ..searching.searches import deliver
+from ..segment import Segment
+from ..state import BalancerState
 from .admission import Verdict, find_patience, judge_opening, limit_requests
-from .messages import Deliver, Reset, Send
 from .placed import NO_OFFERS, Flow, Offers
 from .placement import Target, choose_target
-from .routes import Route, choose_service, make_tag
-from .searching import deliver
-from .segment import Segment
-from .state import BalancerState
 
 # How many targets a new flow is offered before it is refused: more than this are only
 # full together, when a refusal serves the caller better than another try.
--- a/ibisshunt/coordination/forwarding/placed.py
+++ b/ibisshunt/coordination/forwarding/placing/placed.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from .messages import Reason
-from .segment import Segment, is_later
+from ..messages import Reason
+from ..segment import Segment, is_later
 
 # How soon a caller repeats what was not acknowledged, at least; copies that the network
 # made come sooner.
--- a/ibisshunt/coordination/forwarding/placement.py
+++ b/ibisshunt/coordination/forwarding/placing/placement.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from .messages import Status, TargetState
+from ..messages import Status, TargetState
 
 # A target whose agent was silent this long, for three statuses, gets new flows only
 # when there is nobody else.
--- a/ibisshunt/coordination/forwarding/targets.py
+++ b/ibisshunt/coordination/forwarding/placing/targets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from .messages import Status
+from ..messages import Status
 from .placement import FORGET_SECONDS, Target
 
 # How late a status may be.
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/restart/__init__.py
@@ -0,0 +1,1 @@
+"""Keep flows over restarts, and tell callers of those that are over."""
--- a/ibisshunt/coordination/forwarding/archive.py
+++ b/ibisshunt/coordination/forwarding/restart/archive.py
@@ -3,7 +3,8 @@
 from collections import deque
 from collections.abc import Iterable
 
-from .addresses import ADDRESS_BYTES, pack_address, unpack_address
+from ..addresses import ADDRESS_BYTES, pack_address, unpack_address
+from ..messages import Recalled
 from .checkpoint import (
     ENDED,
     ENTRIES_PER_MESSAGE,
@@ -12,7 +13,6 @@
     pack_entries,
     unpack_entries,
 )
-from .messages import Recalled
 
 # How long entries go into one generation, which is one file: half of the longest life
 # of a flow, so that three of them hold each open flow.
--- a/ibisshunt/coordination/forwarding/checkpoint.py
+++ b/ibisshunt/coordination/forwarding/restart/checkpoint.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from .addresses import pack_address, unpack_address
-from .placed import Flow
-from .segment import SEQUENCE_SPACE
+from ..addresses import pack_address, unpack_address
+from ..placing.placed import Flow
+from ..segment import SEQUENCE_SPACE
 
 # Key, the caller's last acknowledgement, the target's address, its incarnation.
 _ENTRY = Struct(">12sI4sI")
--- a/ibisshunt/coordination/forwarding/ending.py
+++ b/ibisshunt/coordination/forwarding/restart/ending.py
@@ -1,12 +1,12 @@
 """Find the open flows that have ended with their targets, and tell their callers."""
 
+from ..messages import Reset, Send, Status, TargetState
+from ..placing.placed import DoubtfulFlows, recall
+from ..placing.placement import Target
+from ..searching.search import WITHOUT_FLOWS
+from ..searching.searches import Searches
+from ..state import BalancerState
 from .checkpoint import ENDED, FlowEntry, FormerFlows
-from .messages import Reset, Send, Status, TargetState
-from .placed import DoubtfulFlows, recall
-from .placement import Target
-from .search import WITHOUT_FLOWS
-from .searching import Searches
-from .state import BalancerState
 
 # How many flows of a target that has ended are asked for at each sweep, for the
 # balancer's link.
--- a/ibisshunt/coordination/forwarding/recollection.py
+++ b/ibisshunt/coordination/forwarding/restart/recollection.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from ..messages import Recall, Recalled
 from .archive import WINDOW
 from .checkpoint import ENTRIES_PER_MESSAGE, FlowEntry, unpack_entries
-from .messages import Recall, Recalled
 
 # How soon a control host that has not answered is asked again.
 AGAIN_SECONDS = 0.25
--- a/ibisshunt/coordination/forwarding/gathering.py
+++ b/ibisshunt/coordination/forwarding/searching/gathering.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from .addresses import pack_addresses
-from .messages import Answer, Gathered, Send, Told
+from ..addresses import pack_addresses
+from ..messages import Answer, Gathered, Send, Told
 
 # How long answers are waited for before those that are there go to the balancer; below
 # the pause after which it asks again.
--- a/ibisshunt/coordination/forwarding/search.py
+++ b/ibisshunt/coordination/forwarding/searching/search.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from .addresses import unpack_addresses
-from .messages import Answer, Gathered, TargetState
-from .placement import Target
-from .routes import make_tag
-from .segment import Segment
+from ..addresses import unpack_addresses
+from ..messages import Answer, Gathered, TargetState
+from ..placing.placement import Target
+from ..routes import make_tag
+from ..segment import Segment
 
 # Packets of one flow that wait for the answer: as many as an end has in flight.
 MAX_HELD = 16
--- a/ibisshunt/coordination/forwarding/searching.py
+++ b/ibisshunt/coordination/forwarding/searching/searches.py
@@ -1,7 +1,7 @@
 """Look for the flows that a balancer does not know, packet by packet."""
 
-from .addresses import pack_addresses
-from .messages import (
+from ..addresses import pack_addresses
+from ..messages import (
     Answer,
     Ask,
     Deliver,
@@ -12,11 +12,11 @@
     Seek,
     Send,
 )
-from .placement import Target
-from .routes import make_tag
+from ..placing.placement import Target
+from ..routes import make_tag
+from ..segment import Segment
+from ..state import BalancerState
 from .search import Search, start_search
-from .segment import Segment
-from .state import BalancerState
 
 # How long the balancers of the same failure domain have to answer before agents are
 # asked.
--- /dev/null
+++ b/ibisshunt/coordination/forwarding/silence/__init__.py
@@ -0,0 +1,1 @@
+"""Tell soon which agents have fallen silent."""
--- a/ibisshunt/coordination/forwarding/suspicion.py
+++ b/ibisshunt/coordination/forwarding/silence/suspicion.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .messages import Ping
+from ..messages import Ping
 
 # The shortest time between two rounds: many round trips, and three rounds fit between a
 # caller's repeat and the next one.
--- a/ibisshunt/coordination/forwarding/silence.py
+++ b/ibisshunt/coordination/forwarding/silence/watch.py
@@ -1,8 +1,8 @@
 """Watch, at one balancer, which agents have fallen silent."""
 
-from .messages import Send
-from .placement import QUIET_SECONDS, Target
-from .state import BalancerState
+from ..messages import Send
+from ..placing.placement import QUIET_SECONDS, Target
+from ..state import BalancerState
 from .suspicion import CONTROLS, Suspicions
 
 
--- a/ibisshunt/coordination/forwarding/state.py
+++ b/ibisshunt/coordination/forwarding/state.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Callable
 
-from .admission import Openings
-from .checkpoint import Checkpoint
 from .counters import Counters
 from .messages import TargetState
-from .placed import NO_OFFERS, Flow, Offers
-from .placement import Target
+from .placing.admission import Openings
+from .placing.placed import NO_OFFERS, Flow, Offers
+from .placing.placement import Target
+from .placing.targets import KnownTargets
+from .restart.checkpoint import Checkpoint
 from .routes import RouteTable
 from .segment import Segment
-from .targets import KnownTargets
 
 MAX_FLOWS = 200_000
 
--- a/ibisshunt/platform/endpoint.py
+++ b/ibisshunt/platform/endpoint.py
@@ -6,7 +6,7 @@
 
 from ..components.forwarding.agent import AgentTask
 from ..components.web import Handle, WebReply, WebRequest
-from ..coordination.forwarding.incarnations import Announcement, Word
+from ..coordination.forwarding.holding.incarnations import Announcement, Word
 from .answers import DONE, NOT_FOUND, explain
 
 INSTANCE_PREFIX = "/-/instances/"
--- a/measurements/capacity_forwarding.py
+++ b/measurements/capacity_forwarding.py
@@ -3,8 +3,11 @@
 from ibisshunt.components.directory.node import HELLO_SECONDS
 from ibisshunt.components.forwarding.agent import STATUS_SECONDS
 from ibisshunt.components.forwarding.checkpoints import COPIES
-from ibisshunt.coordination.forwarding.archive import GENERATION_SECONDS, GENERATIONS
-from ibisshunt.coordination.forwarding.suspicion import PINGS_PER_SECOND
+from ibisshunt.coordination.forwarding.restart.archive import (
+    GENERATION_SECONDS,
+    GENERATIONS,
+)
+from ibisshunt.coordination.forwarding.silence.suspicion import PINGS_PER_SECOND
 
 from .capacity_rows import (
     AGENTS,
@@ -56,7 +59,7 @@
             f"{statuses:,.0f} a second x {status_us:.1f} us",
             statuses * status_us / 1e6,
             "core",
-            "`coordination/forwarding/targets.py`",
+            "`coordination/forwarding/placing/targets.py`",
             CPU_LIMIT,
             groups,
         ),
@@ -74,7 +77,7 @@
             f"{TARGETS_EACH:.1f} targets a service",
             find_line("choice").at(TARGETS_EACH),
             "us",
-            "`coordination/forwarding/placement.py`",
+            "`coordination/forwarding/placing/placement.py`",
         ),
         Row(
             "introductions of a node",
@@ -114,7 +117,7 @@
             f"{AGENTS:,} agents asked",
             asked,
             "B",
-            "`coordination/forwarding/search.py`",
+            "`coordination/forwarding/searching/search.py`",
             DATAGRAM_BYTES,
             "asking the agents of the route's services first",
         ),
@@ -123,7 +126,7 @@
             "the most frequent answer names nobody",
             max(one["answer_bytes"] for one in figures["balancer"]),
             "B",
-            "`coordination/forwarding/gathering.py`",
+            "`coordination/forwarding/searching/gathering.py`",
             DATAGRAM_BYTES,
         ),
         Row(
@@ -131,14 +134,14 @@
             f"{AGENTS:,} agents asked",
             find_line("search").at(AGENTS),
             "us",
-            "`coordination/forwarding/searching.py`",
+            "`coordination/forwarding/searching/searches.py`",
         ),
         Row(
             "flows that a balancer notes for its next run",
             f"{NEW_FLOWS:,} / {BALANCERS} x {COPIES} copies x {noted:.0f} B",
             NEW_FLOWS / BALANCERS * COPIES * noted,
             "B/s",
-            "`coordination/forwarding/checkpoint.py`",
+            "`coordination/forwarding/restart/checkpoint.py`",
             BYTES_LIMIT,
         ),
         Row(
@@ -146,7 +149,7 @@
             f"{notes:,.0f} a second x {noted_us:.1f} us",
             notes * noted_us / 1e6,
             "core",
-            "`coordination/forwarding/archive.py`",
+            "`coordination/forwarding/restart/archive.py`",
             CORE_LIMIT,
         ),
         Row(
@@ -154,7 +157,7 @@
             f"{kept:,.0f} flows of {GENERATIONS * GENERATION_SECONDS:.0f} s",
             find_line("archive").at(kept),
             "B",
-            "`coordination/forwarding/archive.py`",
+            "`coordination/forwarding/restart/archive.py`",
             MEMORY_LIMIT,
             "entries read from the disk when their balancer asks; 35,000 in 30 s are"
             " taken today, the rest is left out",
@@ -164,7 +167,7 @@
             f"{PINGS_PER_SECOND} a second x {figures['ping_bytes']} B",
             PINGS_PER_SECOND * figures["ping_bytes"],
             "B/s",
-            "`coordination/forwarding/suspicion.py`",
+            "`coordination/forwarding/silence/suspicion.py`",
             BYTES_LIMIT,
         ),
     ]
--- a/measurements/forwarding.py
+++ b/measurements/forwarding.py
@@ -17,13 +17,6 @@
 from ibisshunt.coordination.directory.messages import Hello, NodeRole
 from ibisshunt.coordination.directory.registry import Registry
 from ibisshunt.coordination.forwarding.addresses import pack_addresses
-from ibisshunt.coordination.forwarding.archive import FlowArchive
-from ibisshunt.coordination.forwarding.checkpoint import (
-    ENTRIES_PER_MESSAGE,
-    FlowEntry,
-    pack_entries,
-)
-from ibisshunt.coordination.forwarding.gathering import make_gathered
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
@@ -34,8 +27,15 @@
     Status,
     TargetState,
 )
-from ibisshunt.coordination.forwarding.placement import choose_target
-from ibisshunt.coordination.forwarding.searching import Searches
+from ibisshunt.coordination.forwarding.placing.placement import choose_target
+from ibisshunt.coordination.forwarding.restart.archive import FlowArchive
+from ibisshunt.coordination.forwarding.restart.checkpoint import (
+    ENTRIES_PER_MESSAGE,
+    FlowEntry,
+    pack_entries,
+)
+from ibisshunt.coordination.forwarding.searching.gathering import make_gathered
+from ibisshunt.coordination.forwarding.searching.searches import Searches
 from ibisshunt.coordination.forwarding.segment import Segment
 from ibisshunt.coordination.forwarding.state import BalancerState
 
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ibisshunt.coordination.forwarding.requests import find_request_id
+from ibisshunt.coordination.forwarding.holding.requests import find_request_id
 from ibisshunt.platform import packet
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/components/directory/test_archive.py
+++ b/tests/components/directory/test_archive.py
@@ -2,9 +2,12 @@
 
 from ibisshunt.components.directory.archive import ArchiveTask
 from ibisshunt.components.storage.files import run_here
-from ibisshunt.coordination.forwarding.archive import GENERATION_SECONDS, GENERATIONS
-from ibisshunt.coordination.forwarding.checkpoint import FlowEntry, pack_entries
 from ibisshunt.coordination.forwarding.messages import Noted, Recall, Recalled
+from ibisshunt.coordination.forwarding.restart.archive import (
+    GENERATION_SECONDS,
+    GENERATIONS,
+)
+from ibisshunt.coordination.forwarding.restart.checkpoint import FlowEntry, pack_entries
 from ibisshunt.helpers.clock import read_clock
 from tests.components.directory.test_control import FakeInner
 from tests.components.storage.memory_files import MemoryFiles
--- a/tests/coordination/forwarding/test_agent.py
+++ b/tests/coordination/forwarding/holding/test_agent.py
@@ -9,9 +9,9 @@
     Probe,
     Reason,
 )
+from ibisshunt.coordination.forwarding.placing.waiting import WAITING_SECONDS
 from ibisshunt.coordination.forwarding.routes import make_tag
 from ibisshunt.coordination.forwarding.segment import Segment
-from ibisshunt.coordination.forwarding.waiting import WAITING_SECONDS
 from tests.forwarding_world import (
     SERVICE,
     World,
--- a/tests/coordination/forwarding/test_incarnations.py
+++ b/tests/coordination/forwarding/holding/test_incarnations.py
@@ -3,7 +3,7 @@
 from hypothesis import given, strategies as st
 from msgspec.structs import replace
 
-from ibisshunt.coordination.forwarding.incarnations import (
+from ibisshunt.coordination.forwarding.holding.incarnations import (
     Announcement,
     Incarnations,
     Word,
--- a/tests/coordination/forwarding/test_requests.py
+++ b/tests/coordination/forwarding/holding/test_requests.py
@@ -3,7 +3,7 @@
 from hypothesis import given, strategies as st
 from msgspec.structs import replace
 
-from ibisshunt.coordination.forwarding.requests import (
+from ibisshunt.coordination.forwarding.holding.requests import (
     FAILING_HALF_LIFE,
     OVERTAKEN_ROUNDS,
     UNANSWERED_SECONDS,
--- a/tests/coordination/forwarding/test_gathering_targets.py
+++ b/tests/coordination/forwarding/placing/test_gathering_targets.py
@@ -6,7 +6,10 @@
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.messages import Status, TargetState
-from ibisshunt.coordination.forwarding.targets import GATHER_SECONDS, LEARN_SECONDS
+from ibisshunt.coordination.forwarding.placing.targets import (
+    GATHER_SECONDS,
+    LEARN_SECONDS,
+)
 from tests.forwarding_world import SERVICE, make_key, make_table, open_segment
 
 START = 9.0
--- a/tests/coordination/forwarding/test_placement.py
+++ b/tests/coordination/forwarding/placing/test_placement.py
@@ -6,10 +6,6 @@
 import pytest
 from msgspec.structs import replace
 
-from ibisshunt.coordination.forwarding.admission import (
-    MAX_CORRECTIONS,
-    limit_requests,
-)
 from ibisshunt.coordination.forwarding.balancer import Balancer
 from ibisshunt.coordination.forwarding.messages import (
     NO_LIMIT,
@@ -19,6 +15,10 @@
     Status,
     TargetState,
 )
+from ibisshunt.coordination.forwarding.placing.admission import (
+    MAX_CORRECTIONS,
+    limit_requests,
+)
 from tests.forwarding_world import (
     SERVICE,
     World,
--- a/tests/coordination/forwarding/test_checkpoint.py
+++ b/tests/coordination/forwarding/restart/test_checkpoint.py
@@ -3,13 +3,13 @@
 from hypothesis import given, strategies as st
 from msgspec.structs import replace
 
-from ibisshunt.coordination.forwarding.archive import (
+from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.restart.archive import (
     GENERATION_SECONDS,
     GENERATIONS,
     FlowArchive,
 )
-from ibisshunt.coordination.forwarding.balancer import Balancer
-from ibisshunt.coordination.forwarding.checkpoint import (
+from ibisshunt.coordination.forwarding.restart.checkpoint import (
     ENDED,
     ENTRIES_PER_MESSAGE,
     ENTRY_BYTES,
@@ -20,8 +20,8 @@
     pack_entries,
     unpack_entries,
 )
-from ibisshunt.coordination.forwarding.ending import RESETS_PER_SWEEP
-from ibisshunt.coordination.forwarding.recollection import (
+from ibisshunt.coordination.forwarding.restart.ending import RESETS_PER_SWEEP
+from ibisshunt.coordination.forwarding.restart.recollection import (
     AGAIN_SECONDS,
     ASKING_SECONDS,
     Recollection,
--- a/tests/coordination/forwarding/test_doubtful.py
+++ b/tests/coordination/forwarding/restart/test_doubtful.py
@@ -2,8 +2,8 @@
 
 from msgspec.structs import replace
 
-from ibisshunt.coordination.forwarding.ending import DOUBTS_PER_SWEEP
 from ibisshunt.coordination.forwarding.messages import Deliver
+from ibisshunt.coordination.forwarding.restart.ending import DOUBTS_PER_SWEEP
 from tests.forwarding_world import World, data_segment, make_key
 
 FIRST, SECOND = "10.0.1.0", "10.0.1.1"
--- a/tests/coordination/forwarding/test_gathering.py
+++ b/tests/coordination/forwarding/searching/test_gathering.py
@@ -7,12 +7,6 @@
     pack_addresses,
     unpack_addresses,
 )
-from ibisshunt.coordination.forwarding.gathering import (
-    GATHER_SECONDS,
-    LATE_SECONDS,
-    NO_ROUND,
-    Gatherings,
-)
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Gathered,
@@ -20,10 +14,15 @@
     TargetState,
     Told,
 )
-from ibisshunt.coordination.forwarding.search import Search
-from ibisshunt.coordination.forwarding.searching import PROBE_SECONDS
-
-from ...forwarding_world import World, data_segment, make_key
+from ibisshunt.coordination.forwarding.searching.gathering import (
+    GATHER_SECONDS,
+    LATE_SECONDS,
+    NO_ROUND,
+    Gatherings,
+)
+from ibisshunt.coordination.forwarding.searching.search import Search
+from ibisshunt.coordination.forwarding.searching.searches import PROBE_SECONDS
+from tests.forwarding_world import World, data_segment, make_key
 
 KEY = make_key()
 BALANCER = "10.0.1.1"
--- a/tests/coordination/forwarding/test_silence.py
+++ b/tests/coordination/forwarding/silence/test_silence.py
@@ -5,8 +5,8 @@
 import pytest
 
 from ibisshunt.coordination.forwarding.messages import Ping, Reset, Send
-from ibisshunt.coordination.forwarding.placement import PAUSE_SECONDS
-from ibisshunt.coordination.forwarding.suspicion import (
+from ibisshunt.coordination.forwarding.placing.placement import PAUSE_SECONDS
+from ibisshunt.coordination.forwarding.silence.suspicion import (
     MARGIN_SECONDS,
     MAX_DOUBTS,
     Suspicions,
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.holding.own_target import MISSED_HEARTBEATS
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Deliver,
@@ -11,10 +12,9 @@
     Seek,
     TargetState,
 )
-from ibisshunt.coordination.forwarding.own_target import MISSED_HEARTBEATS
-from ibisshunt.coordination.forwarding.placed import Flow
-from ibisshunt.coordination.forwarding.placement import LOST_SECONDS
-from ibisshunt.coordination.forwarding.search import start_search
+from ibisshunt.coordination.forwarding.placing.placed import Flow
+from ibisshunt.coordination.forwarding.placing.placement import LOST_SECONDS
+from ibisshunt.coordination.forwarding.searching.search import start_search
 from tests.forwarding_world import (
     HEARTBEAT,
     SERVICE,
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -8,8 +8,7 @@
 from ibisshunt.coordination.forwarding.addresses import unpack_addresses
 from ibisshunt.coordination.forwarding.agent import Agent
 from ibisshunt.coordination.forwarding.balancer import Balancer
-from ibisshunt.coordination.forwarding.gathering import Gatherings
-from ibisshunt.coordination.forwarding.incarnations import Announcement
+from ibisshunt.coordination.forwarding.holding.incarnations import Announcement
 from ibisshunt.coordination.forwarding.messages import (
     Ask,
     Deliver,
@@ -24,6 +23,7 @@
     ToTarget,
 )
 from ibisshunt.coordination.forwarding.routes import Route, RouteTable, Share
+from ibisshunt.coordination.forwarding.searching.gathering import Gatherings
 from ibisshunt.coordination.forwarding.segment import Segment
 
 PLACE = bytes((198, 18, 0, 1, 1, 187))
