Bring about with real processes that no reset of a foreign target reaches a caller

Eight flows, agents and balancers killed, a new balancer that knows none of them; endpoints answer probes of flows that they do not hold with resets.

--- a/soak/standin.py
+++ b/soak/standin.py
@@ -147,6 +147,8 @@
         self.opened_at = []
         self.runs = {} if runs is None else runs
         self.state = "ready"
+        # Whether it resets what it does not hold, as it does on flows that ended there.
+        self.resets_strays = False
         self._beats = 0
         self._running = True
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -204,6 +206,8 @@
         if flow is None or not flow.first < segment.acknowledgement <= flow.next_out:
             # Not held; or the caller took the opening of another endpoint.
             self.bounced += 1
+            if self.resets_strays:
+                return make_answer(segment.key, packet.RST, 0)
             return bytes((data[0] | packet.BOUNCED,)) + data[1:]
         if segment.sequence < flow.next_in:
             return flow.answer
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -24,6 +24,7 @@
 
 CORE = "127.7.0.1"
 FRONTS = ("127.7.1.1", "127.7.1.2")
+LATE_FRONT = "127.7.1.3"
 SIDES = ("127.7.2.1", "127.7.2.2")
 CLIENT = "127.7.9.1"
 SEEDS = [f"{CORE}:{CONTROL}"]
@@ -58,16 +59,9 @@
             DataDir=str(folder / "data"),
             Bootstrap=True,
         )
-        self.fronts = [
-            Process(
-                folder,
-                "balancer",
-                ip,
-                SEEDS,
-                {"UdpAddr": f"{ip}:{PACKETS}", "ReadyAddr": f"{ip}:{READY}"},
-            )
-            for ip in FRONTS
-        ]
+        self.fronts = []
+        for ip in FRONTS:
+            self.add_front(ip)
         self.sides = [
             Process(
                 folder,
@@ -90,6 +84,11 @@
         ]
         self.client = Client(CLIENT)
 
+    def add_front(self, ip):
+        """Start a balancer."""
+        listen = {"UdpAddr": f"{ip}:{PACKETS}", "ReadyAddr": f"{ip}:{READY}"}
+        self.fronts.append(Process(self.folder, "balancer", ip, SEEDS, listen))
+
     def put(self, config=CONFIG):
         """Send a configuration until it is acknowledged."""
         path = "/-/config/put"
@@ -194,6 +193,39 @@
     assert found.data.endswith(home.encode())
 
 
+def test_no_caller_hears_the_reset_of_an_endpoint_that_never_held_its_flow(system):
+    # Agents are killed and start again beside living endpoints, and another balancer
+    # takes over that knows no flow: it lets the agents probe. Endpoints answer probes
+    # of flows that they do not hold with resets. Handed on, these would end callers'
+    # flows, which are open at the other endpoint.
+    system.put()
+    system.wait_until_ready()
+    system.wait_until_known()
+    ports = range(40_001, 40_009)
+    opened, homes = {}, {}
+    for port in ports:
+        opened[port] = wait_for(
+            lambda port=port: system.client.open(FRONTS[0], port), "a flow"
+        )
+        homes[port] = ask(system, FRONTS[0], port, opened[port])
+    for endpoint in system.endpoints:
+        endpoint.resets_strays = True
+    for process in (*system.sides, *system.fronts):
+        process.send(signal.SIGKILL)
+        process.wait_for_end()
+    for side in system.sides:
+        side.start()
+    system.add_front(LATE_FRONT)
+    for port in ports:
+        found = wait_for(
+            lambda port=port: system.client.ask(LATE_FRONT, port, opened[port]),
+            "an answer",
+        )
+        assert not found.resets
+        assert found.data.endswith(homes[port].encode())
+    assert sum(endpoint.bounced for endpoint in system.endpoints)
+
+
 def test_a_draining_endpoint_keeps_its_flows_and_gets_no_new_one(system):
     # An endpoint says that it leaves. From the acknowledgement on no new flow may
     # reach it, through any balancer; its open flows go on.
