Evacuate a failure domain by a record of the operator

Until now an operator had to drain each target of a failure domain alone, and targets that started there later got new work. An evacuation is a record of the administrator: its targets show as leaving on every node by the way that all records take, those that announce themselves later too. The same order again changes nothing; a failure domain without targets is refused, with those that are known. Weighed: a drain for each target written by the command (stale at the next start of a target), and a list in the nodes' settings (not replicated).

--- a/ibisshunt/cli/operator.py
+++ b/ibisshunt/cli/operator.py
@@ -76,6 +76,8 @@
     click.echo(f"revision {reply.revision} leader {reply.leader}")
     for host in reply.unreachable:
         click.echo(f"control host {host} UNREACHABLE: its nodes may be missing")
+    for domain in reply.evacuated:
+        click.echo(f"failure domain {domain} EVACUATED: its targets get no new work")
     for service in reply.services:
         click.echo(f"service {service}")
     for target in reply.targets:
--- a/ibisshunt/cli/records.py
+++ b/ibisshunt/cli/records.py
@@ -156,6 +156,30 @@
         wait_until_in_force(context, revision, timeout)
 
 
+@click.command()
+@click.argument("domain")
+@click.option("--start/--end", "starts", default=None, help="Drain it, or end that.")
+@WAIT
+@TIMEOUT
+@click.pass_context
+def evacuate(
+    context: click.Context,
+    domain: str,
+    starts: bool | None,
+    wait: bool,
+    timeout: float,
+) -> None:
+    """Give the targets of a failure domain no new work; what runs there goes on."""
+    if starts is None:
+        raise click.UsageError("found neither --start nor --end, expected one of them")
+    document: dict[str, Any] = {"kind": "evacuation", "schema": 1, "name": domain}
+    if not starts:
+        document["delete"] = True
+    revision = apply_documents(context, (json.dumps(document),))
+    if wait:
+        wait_until_in_force(context, revision, timeout)
+
+
 @click.command(name="list")
 @click.argument("business", default="")
 @click.pass_context
@@ -250,6 +274,8 @@
 def find_key(document: dict[str, Any]) -> tuple[str, str, str]:
     """Return kind, business and name of a document."""
     kind, name = document.get("kind", ""), document.get("name", "")
+    if kind == "evacuation":
+        return (kind, "", name)
     if kind == "drain" and not name:
         name = f"{document.get('service')}.{document.get('target')}"
     return (kind, document.get("business", name), name)
@@ -273,4 +299,4 @@
     return json.dumps(found, indent=1, sort_keys=True).splitlines()
 
 
-COMMANDS: Final = (apply, drain, list_records, get, history, diff)
+COMMANDS: Final = (apply, drain, evacuate, list_records, get, history, diff)
--- a/ibisshunt/components/control/reports.py
+++ b/ibisshunt/components/control/reports.py
@@ -92,6 +92,7 @@
                 for target in found.targets
             ),
             nodes=self._list_nodes(),
+            evacuated=tuple(sorted(store.list_evacuated())),
         )
 
     def _list_nodes(self) -> tuple[NodeStatus, ...]:
--- a/ibisshunt/coordination/records/changes.py
+++ b/ibisshunt/coordination/records/changes.py
@@ -1,10 +1,11 @@
 """Decide whether one change of a record is accepted."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 
 from ...model.record import (
     Drain,
+    Evacuation,
     Grant,
     Record,
     RecordBody,
@@ -18,13 +19,22 @@
 CountTargets = Callable[[str, str], int]
 
 # Only the administrator may change how much a business is allowed.
-ADMIN_KINDS = (RecordKind.BUSINESS, RecordKind.GRANT)
+ADMIN_KINDS = (RecordKind.BUSINESS, RecordKind.GRANT, RecordKind.EVACUATION)
+# Kinds that belong to no business.
+FLEET_KINDS = (RecordKind.BUSINESS, RecordKind.EVACUATION)
 
 
 def change_record(
-    draft: Draft, change: RecordChange, index: int, count_targets: CountTargets
+    draft: Draft,
+    change: RecordChange,
+    index: int,
+    count_targets: CountTargets,
+    domains: Collection[str] = (),
 ) -> ChangeResult:
-    """Try one change on the draft; leave the draft as it is on an error."""
+    """Try one change on the draft; leave the draft as it is on an error.
+
+    ``domains`` are the failure domains in which there are targets.
+    """
     current = draft.find(change.kind, change.business, change.name)
     found = current.revision if current else 0
     expected = change.expected_revision
@@ -33,6 +43,10 @@
     if not change.body:
         return _delete(draft, change, current, count_targets)
     body = decode_body(change.kind, change.body)
+    if isinstance(body, Evacuation) and body.name not in domains:
+        known = ", ".join(sorted(domains)) or "none"
+        error = f"no target is in this failure domain, expected one of: {known}"
+        return _refuse(change, found, error)
     if error := _find_conflict(draft, change, body, current):
         return _refuse(change, found, error)
     return _put(draft, change, body, current, index)
@@ -87,6 +101,9 @@
     current: Record | None,
     count_targets: CountTargets,
 ) -> ChangeResult:
+    if current is None and change.kind == RecordKind.EVACUATION:
+        # An end that is sent again, maybe by another operator, finds its work done.
+        return ChangeResult(change.name, 0)
     if current is None:
         return _refuse(change, 0, "does not exist")
     if error := _find_dependent(draft, change, count_targets):
@@ -128,7 +145,7 @@
 def _find_conflict(
     draft: Draft, change: RecordChange, body: RecordBody, current: Record | None
 ) -> str:
-    if change.kind == RecordKind.BUSINESS:
+    if change.kind in FLEET_KINDS:
         return ""
     if draft.find(RecordKind.BUSINESS, change.business, change.business) is None:
         return f"business {change.business!r} does not exist"
--- a/ibisshunt/coordination/records/commands.py
+++ b/ibisshunt/coordination/records/commands.py
@@ -7,7 +7,15 @@
 from returns.result import Failure, Result
 
 from ...exceptions import Fault
-from ...model.record import Business, Drain, Grant, RecordBody, RecordKind, Service
+from ...model.record import (
+    Business,
+    Drain,
+    Evacuation,
+    Grant,
+    RecordBody,
+    RecordKind,
+    Service,
+)
 from ...model.target import Announcement, TargetState
 from ...protocol.codec import decode, encode
 
@@ -16,6 +24,7 @@
     RecordKind.SERVICE: Service,
     RecordKind.GRANT: Grant,
     RecordKind.DRAIN: Drain,
+    RecordKind.EVACUATION: Evacuation,
 }
 
 
--- a/ibisshunt/coordination/records/documents.py
+++ b/ibisshunt/coordination/records/documents.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from ...exceptions import Fault
-from ...model.record import Business, RecordBody, RecordKind
+from ...model.record import Business, Evacuation, RecordBody, RecordKind
 from ...protocol.codec import encode
 from .commands import RecordChange
 from .schema import ENVELOPE, FORMS, NAME, SCHEMA_VERSIONS, name_drain
@@ -101,10 +101,9 @@
         name = name_drain(_require(checked, "service"), _require(checked, "target"))
     if name is None:
         name = _require(checked, "name")
-    owned = kind != RecordKind.BUSINESS
     return RecordChange(
         kind=kind,
-        business=_require(checked, "business") if owned else name,
+        business=_find_owner(kind, name, checked),
         name=name,
         schema_version=version,
         document=text,
@@ -113,6 +112,13 @@
     )
 
 
+def _find_owner(kind: RecordKind, name: str, found: dict[str, Any]) -> str:
+    """Return the business of a record; a failure domain belongs to none."""
+    if kind == RecordKind.BUSINESS:
+        return name
+    return "" if kind == RecordKind.EVACUATION else _require(found, "business")
+
+
 def _require(found: dict[str, Any], key: str) -> str:
     if key not in found:
         raise vol.Invalid("required key not provided", path=[key])
@@ -120,6 +126,8 @@
 
 
 def _find_business(body: RecordBody) -> str:
+    if isinstance(body, Evacuation):
+        return ""
     return body.name if isinstance(body, Business) else body.business
 
 
--- a/ibisshunt/coordination/records/schema.py
+++ b/ibisshunt/coordination/records/schema.py
@@ -10,6 +10,7 @@
 from ...model.record import (
     Business,
     Drain,
+    Evacuation,
     FrontKind,
     Grant,
     RecordBody,
@@ -169,6 +170,8 @@
     vol.Required("target"): NAME,
 }
 
+EVACUATION = {**ENVELOPE, vol.Required("name"): NAME}
+
 
 def build_business_1(found: Mapping[str, Any]) -> Business:
     """Return the business of a document of version 1."""
@@ -227,6 +230,11 @@
     return Drain(name, found["business"], found["service"], found["target"])
 
 
+def build_evacuation(found: Mapping[str, Any]) -> Evacuation:
+    """Return the evacuation; its form is the same in both versions."""
+    return Evacuation(found["name"])
+
+
 FORMS: Final[Mapping[tuple[RecordKind, int], tuple[vol.Schema, Build]]] = {
     (RecordKind.BUSINESS, 1): (vol.Schema(BUSINESS_1), build_business_1),
     (RecordKind.BUSINESS, 2): (vol.Schema(BUSINESS_2), build_business_2),
@@ -236,4 +244,6 @@
     (RecordKind.GRANT, 2): (vol.Schema(GRANT), build_grant),
     (RecordKind.DRAIN, 1): (vol.Schema(DRAIN), build_drain),
     (RecordKind.DRAIN, 2): (vol.Schema(DRAIN), build_drain),
+    (RecordKind.EVACUATION, 1): (vol.Schema(EVACUATION), build_evacuation),
+    (RecordKind.EVACUATION, 2): (vol.Schema(EVACUATION), build_evacuation),
 }
--- a/ibisshunt/coordination/records/store.py
+++ b/ibisshunt/coordination/records/store.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 
 from ...model.configuration import Configuration, ServiceSlice
-from ...model.record import Business, Drain, RecordKind, Service
+from ...model.record import Business, Drain, Evacuation, RecordKind, Service
 from ...model.target import Target, TargetState
 from .allowances import Charge, charge
 from .answers import MAX_KEPT_ADMIN, AnswerBook, count_kept
@@ -94,9 +94,10 @@
         self, index: int, command: ChangeRecords, actor: str
     ) -> ChangeOutcome:
         draft = self.draft.copy()
+        domains = {target.failure_domain for target in self.list_targets()}
         doubles = _find_doubles(command.changes)
         results = tuple(
-            change_record(draft, change, index, self._count_targets)
+            change_record(draft, change, index, self._count_targets, domains)
             if position not in doubles
             else ChangeResult(change.name, 0, "stands twice in one request")
             for position, change in enumerate(command.changes)
@@ -172,12 +173,32 @@
             for records in (self.draft, draft):
                 found = records.find(change.kind, change.business, change.name)
                 body = found.body if found else None
+                if isinstance(body, Evacuation):
+                    touched |= self._find_services_in(records, body.name)
+                    continue
                 name = body.service if isinstance(body, Drain) else change.name
                 service = records.find_service(change.business, name)
                 if isinstance(body, Service | Drain) and service:
                     touched[change.business, name] = service.number
         return touched
 
+    def _find_services_in(
+        self, records: Draft, domain: str
+    ) -> Mapping[ServiceKey, int]:
+        """Return the number of each service with targets in a failure domain."""
+        found: dict[ServiceKey, int] = {}
+        for key, targets in self.targets.items():
+            service = records.find_service(*key)
+            if service and any(target.failure_domain == domain for target in targets):
+                found[key] = service.number
+        return found
+
+    def list_evacuated(self) -> frozenset[str]:
+        """Return the failure domains whose targets get no new work."""
+        return frozenset(
+            key[2] for key in self.draft.records if key[0] == RecordKind.EVACUATION
+        )
+
     def precheck_announcement(self, command: AnnounceTarget) -> TargetOutcome | None:
         """Return the outcome of an announcement that admits nothing, or None.
 
@@ -227,6 +248,7 @@
         """Renew the slices of these services only; the others stay as they are."""
         self.revision = index
         drained = self._find_drained() if touched else frozenset()
+        evacuated = self.list_evacuated()
         for key, number in touched.items():
             service = self.draft.find_service(*key)
             if service is None:
@@ -234,7 +256,11 @@
                 self.targets.pop(key, None)
                 continue
             shown = tuple(
-                _show(target, (*key, target.name) in drained)
+                _show(
+                    target,
+                    (*key, target.name) in drained
+                    or target.failure_domain in evacuated,
+                )
                 for target in self.targets.get(key, ())
             )
             left = _find_left(self.slices.get(number), shown, index)
--- a/ibisshunt/model/record.py
+++ b/ibisshunt/model/record.py
@@ -13,6 +13,7 @@
     SERVICE = "service"
     GRANT = "grant"
     DRAIN = "drain"
+    EVACUATION = "evacuation"
 
 
 class SharingPolicy(StrEnum):
@@ -91,7 +92,14 @@
     target: str
 
 
-RecordBody = Business | Service | Grant | Drain
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Ask for the targets of a failure domain, named ``name``, to get no new work."""
+
+    name: str
+
+
+RecordBody = Business | Service | Grant | Drain | Evacuation
 
 
 @dataclass(frozen=True, slots=True)
--- a/ibisshunt/protocol/messages.py
+++ b/ibisshunt/protocol/messages.py
@@ -143,7 +143,8 @@
     """Tell the state of the whole system at one revision.
 
     ``unreachable`` names the control hosts that did not answer: nodes that report to
-    them may be missing.
+    them may be missing. ``evacuated`` are the failure domains whose targets get no new
+    work.
     """
 
     revision: int
@@ -152,6 +153,7 @@
     targets: tuple[TargetStatus, ...]
     nodes: tuple[NodeStatus, ...]
     unreachable: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 APPLY = Method("Apply", ApplyRequest, ApplyReply)
--- a/tests/cli/test_records.py
+++ b/tests/cli/test_records.py
@@ -8,7 +8,13 @@
 from ibisshunt.components.control import setup
 from ibisshunt.core import Kernel
 from ibisshunt.model.address import Address
-from ibisshunt.protocol.messages import REPORT, ReportRequest
+from ibisshunt.model.target import Announcement
+from ibisshunt.protocol.messages import (
+    ANNOUNCE,
+    REPORT,
+    AnnounceRequest,
+    ReportRequest,
+)
 from ibisshunt.protocol.rpc import Channel
 from ibisshunt.settings import ControlSettings
 from tests.builders import BUSINESS_DOCUMENT, SERVICE_DOCUMENT
@@ -86,6 +92,40 @@
     assert '"slots\\": 3' in operator.run("get", "service", "marea", "booking")
 
 
+def announce(operator):
+    """Let a target of the booking service announce itself from domain moin-a."""
+    operator.run("apply", operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT))
+    address = Address("127.0.0.1", 7001)
+    found = Announcement(
+        "marea", "booking", "t1", "s1", "h1", "moin-a", address, address, address
+    )
+    channel = Channel(operator.control.address)
+    channel.call(ANNOUNCE, AnnounceRequest(found))
+    channel.close()
+
+
+def test_a_failure_domain_is_evacuated_and_taken_back(operator):
+    announce(operator)
+    operator.report("b1", 1_000)
+    output = operator.run("evacuate", "moin-a", "--start", "--wait")
+    assert "in force on 1 nodes" in output
+    shown = operator.run("status")
+    assert "failure domain moin-a EVACUATED" in shown
+    assert "t1 leaving" in shown
+    assert "evacuation /moin-a" in operator.run("list")
+    operator.run("evacuate", "moin-a", "--end")
+    assert "EVACUATED" not in operator.run("status")
+    operator.run("evacuate", "moin-a", "--end")
+
+
+def test_an_evacuation_names_what_is_wrong(operator):
+    announce(operator)
+    assert "--start" in operator.run("evacuate", "moin-a", code=2)
+    output = operator.run("evacuate", "moin-z", "--start", code=1)
+    assert "moin-z" in output
+    assert "expected one of: moin-a" in output
+
+
 def test_a_drain_is_put_and_taken_back(operator):
     operator.run("apply", operator.write(BUSINESS_DOCUMENT, SERVICE_DOCUMENT))
     operator.run("drain", "marea", "booking", "t1")
--- a/tests/coordination/records/factory.py
+++ b/tests/coordination/records/factory.py
@@ -51,6 +51,10 @@
     return {**found, "token_hash": token * 64}
 
 
+def evacuation(domain):
+    return {"kind": "evacuation", "schema": 1, "name": domain}
+
+
 def drain(owner, service, target):
     found = {"kind": "drain", "schema": 1, "business": owner}
     return {**found, "service": service, "target": target}
@@ -58,7 +62,8 @@
 
 def delete(kind, owner, name, **keys):
     found = {"kind": kind, "schema": 1, "name": name, "delete": True, **keys}
-    return found if kind == "business" else {**found, "business": owner}
+    has_owner = kind not in ("business", "evacuation")
+    return {**found, "business": owner} if has_owner else found
 
 
 def change(*documents, operation="o", token=ADMIN, now=1000.0):
--- a/tests/coordination/records/test_store.py
+++ b/tests/coordination/records/test_store.py
@@ -11,6 +11,7 @@
     change,
     delete,
     drain,
+    evacuation,
     grant,
     service,
     service_2,
@@ -162,6 +163,61 @@
     assert driver.targets() == {1: TargetState.READY}
 
 
+def test_targets_of_an_evacuated_domain_get_no_new_work_until_its_end():
+    driver = start_marea()
+    driver.apply(announce())
+    assert driver.errors(evacuation("moin-a")) == [""]
+    assert driver.targets() == {1: TargetState.LEAVING}
+    assert driver.store.list_evacuated() == {"moin-a"}
+    assert driver.errors(delete("evacuation", "", "moin-a")) == [""]
+    assert driver.targets() == {1: TargetState.READY}
+
+
+def test_a_target_that_starts_in_an_evacuated_domain_gets_no_new_work():
+    # Guards against new work in a domain that is drained, from a service that scales.
+    driver = start_marea()
+    driver.apply(announce())
+    driver.put(evacuation("moin-a"))
+    driver.apply(announce(name="t2", session="s2", port=7101))
+    assert set(driver.targets().values()) == {TargetState.LEAVING}
+    restored = read_snapshot(take_snapshot(driver.store)).unwrap()
+    assert restored.list_evacuated() == {"moin-a"}
+    assert set(Driver(restored).targets().values()) == {TargetState.LEAVING}
+
+
+def test_an_evacuation_touches_the_services_of_its_domain_alone():
+    driver = start_marea()
+    driver.put(service("marea", "docs", 81))
+    driver.apply(announce())
+    before = dict(driver.store.slices)
+    driver.put(evacuation("moin-a"))
+    assert driver.store.slices[2] is before[2]
+    assert driver.store.slices[1].revision == driver.index
+
+
+def test_the_same_order_for_a_domain_again_changes_nothing():
+    driver = start_marea()
+    driver.apply(announce())
+    driver.put(evacuation("moin-a"))
+    revision = driver.store.revision
+    assert driver.errors(evacuation("moin-a")) == [""]
+    assert driver.store.revision == revision
+    driver.put(delete("evacuation", "", "moin-a"))
+    revision = driver.store.revision
+    assert driver.errors(delete("evacuation", "", "moin-a")) == [""]
+    assert driver.store.revision == revision
+
+
+def test_an_unknown_failure_domain_and_a_business_are_refused():
+    driver = start_marea()
+    driver.apply(announce())
+    assert "expected one of: moin-a" in driver.errors(evacuation("moin-z"))[0]
+    driver.put(grant("marea", "g", "a"))
+    refused = driver.errors(evacuation("moin-a"), token="a")[0]
+    assert "administrator" in refused
+    assert driver.targets() == {1: TargetState.READY}
+
+
 def test_a_change_renews_only_the_slices_it_touches():
     driver = start_marea()
     driver.put(service("marea", "docs", 81))
