Drain a failure domain by order, and bound what a cold target gets in a second

An order is an entry of the log beside configurations. Nodes learn of it with Welcome and Notice, as of configurations, and agents from balancers too. The agent beside each target is the last door: until it has heard, and while its domain is drained, every opening goes back; balancers are told that the target drains. Weighed: balancers that filter by domain (a stale one places anyway; each status would carry the domain), an id by the caller (the wire has none), and a read barrier before each order (a second round, which fails whenever the core is unstable).

The agent counts openings of the last 1.1 s for a cold target, with the last second taken for used up after its own start, and takes the target for cold from an order for failure domains until the next heartbeat. The surplus goes to other targets, waits up to a second, or is refused.

Ruled out: an order that is told by the next round of notices alone (0.25 s): control killed right after the acknowledgement left the agents without it until its restart; it is told at once now.

--- a/ibisshunt/components/directory/known.py
+++ b/ibisshunt/components/directory/known.py
@@ -10,11 +10,13 @@
 from ...exceptions import StorageError
 from ...helpers.logging import log_event, warn_event
 from ...helpers.threads import run_in_thread
+from ...model.domains import DrainedDomains
 from ..storage.files import DiskFiles, Files, write_whole
 from ..storage.frames import make_frame, scan_frames
 
 FOLDER_NAME = "directory"
 NODES_NAME = "nodes"
+DRAINED_NAME = "drained"
 VERSION_NAME = "version"
 Run = Callable[[Callable[..., Any], tuple[Any, ...]], Any]
 
@@ -78,6 +80,7 @@
     ``nodes`` are the nodes: without them a balancer that starts with the fleet waits
     longer before it takes a flow for ended. ``version`` is the newest configuration
     that was in force: without it nodes serve nothing until a leader is elected.
+    ``drained`` are the drained domains, None when the host never was sure of them.
     ``files`` is where others keep files of the same kind.
     """
 
@@ -86,6 +89,7 @@
         nodes = tuple[KnownNode, ...]
         self.nodes = SavedValue(files, run, NODES_NAME, nodes, ())
         self.version = SavedValue(files, run, VERSION_NAME, PackedVersion, NO_VERSION)
+        self.drained = SavedValue(files, run, DRAINED_NAME, DrainedDomains, None)
 
 
 def open_files(data_folder: str) -> DirectoryFiles:
--- a/ibisshunt/components/directory/node.py
+++ b/ibisshunt/components/directory/node.py
@@ -20,6 +20,7 @@
 )
 from ...helpers.clock import read_clock
 from ...helpers.logging import log_event, warn_event
+from ...model.domains import DrainedDomains
 from .inner import InnerSocket
 
 # How often a node introduces itself; its answer also mends a lost notice of a new
@@ -51,9 +52,11 @@
         domain: str = "",
         finish_list: Callable[[frozenset[str]], None] = lambda named: None,
         is_empty: Callable[[], bool] = lambda: False,
+        take_drained: Callable[[DrainedDomains], None] = lambda drained: None,
     ) -> None:
         self.contacts = Contacts(role, seeds, domain)
         self.version = 0
+        self.drained: DrainedDomains | None = None
         self._whole = b""
         self._download = Download()
         self._inner = inner
@@ -61,6 +64,7 @@
         self._meet = meet
         self._finish_list = finish_list
         self._is_empty = is_empty
+        self._take_drained_there = take_drained
         self._in_touch = False
         self._has_left = False
         inner.handle(Welcome, self._take_welcome)
@@ -109,6 +113,7 @@
         now = read_clock()
         return {
             "version": self.version,
+            "drained": self.drained,
             "control": self.contacts.list_control(now),
             "nodes": self.contacts.list_nodes(),
             "in_touch": self.is_in_touch(),
@@ -117,7 +122,7 @@
     def _introduce(self, now: float) -> float:
         if self._has_left:
             return HELLO_SECONDS
-        hello = self.contacts.make_hello(self.version, self._is_empty())
+        hello = self.contacts.make_hello(self.version, self._is_empty(), self.drained)
         for address in self.contacts.list_control(now):
             self._inner.send(address, hello)
         in_touch = self.is_in_touch()
@@ -133,6 +138,7 @@
         return pause * (0.8 + 0.4 * random.random())
 
     def _take_welcome(self, peer: str, welcome: Welcome) -> None:
+        self._take_drained(peer, welcome.drained)
         learned = self.contacts.take(peer, welcome, read_clock())
         if learned:
             first = ",".join(learned[:FIRST_NAMED])
@@ -146,6 +152,7 @@
 
     def _take_notice(self, peer: str, notice: Notice) -> None:
         now = read_clock()
+        self._take_drained(peer, notice.drained)
         self.contacts.note_control(peer, now)
         if not self.is_in_touch():
             # A control host that has just started: it may tell who else is there. It
@@ -153,7 +160,25 @@
             self._introduce(now)
         self.offer(peer, notice.version)
 
+    def _take_drained(self, peer: str, found: DrainedDomains | None) -> None:
+        """Put drained domains in force, unless the same or newer ones are."""
+        held = self.drained
+        if found is None or (held is not None and found.revision <= held.revision):
+            return
+        self.drained = found
+        log_event(
+            "drained_domains_in_force",
+            revision=found.revision,
+            domains=",".join(found.domains) or "none",
+            source=peer,
+        )
+        self._take_drained_there(found)
+        if held is not None:
+            # At once: control counts who is behind, and would tell this node again.
+            self._introduce(read_clock())
+
     def _take_introduce(self, peer: str, message: Introduce) -> None:
+        self._take_drained(peer, message.drained)
         self.contacts.note(peer, read_clock())
         self._meet(peer)
 
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -29,6 +29,7 @@
 from ...helpers.decisions import DecisionLog
 from ...helpers.logging import warn_event
 from ...helpers.samples import LatencyHistogram, Sample
+from ...model.domains import DrainedDomains
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
@@ -72,6 +73,9 @@
             self.log.tell_event,
             settings.max_flow,
             self.service.observe,
+            settings.failure_domain,
+            settings.cold_overage,
+            settings.cold_slack,
         )
         self.unreadable = 0
         # Heartbeats and last words that were refused.
@@ -155,6 +159,11 @@
         self.refused_words += 1
         self.log.tell_event("word_refused", target=name, reason=reason)
 
+    def take_drained(self, drained: DrainedDomains) -> None:
+        """Take the drained domains; balancers hear of a change at once."""
+        if self.agent.take_drained(drained):
+            self.tell_all()
+
     def has_lost_target(self) -> bool:
         """Tell whether the target has gone for good: it said so, or was long silent."""
         return self.agent.state == TargetState.GONE
@@ -184,6 +193,8 @@
         return {
             "service": agent.service,
             "state": agent.state.name,
+            "domain": agent.domain,
+            "domain_drained": agent.target.is_drained,
             "flows": len(agent.flows),
             "active": agent.requests.active,
             "finished": agent.requests.finished,
--- a/ibisshunt/components/forwarding/agent_samples.py
+++ b/ibisshunt/components/forwarding/agent_samples.py
@@ -24,6 +24,8 @@
     yield Sample("ibisshunt_packets_sent_back_total", COUNTER, {}, agent.returned)
     yield Sample("ibisshunt_target_state", GAUGE, {}, int(agent.state))
     yield Sample("ibisshunt_configuration_version", GAUGE, {}, agent.routes.version)
+    drained = int(agent.target.is_drained is not False)
+    yield Sample("ibisshunt_own_domain_drained", GAUGE, {}, drained)
     yield Sample("ibisshunt_refused_words_total", COUNTER, {}, refused_words)
     yield Sample("ibisshunt_lines_left_out_total", COUNTER, {}, log.left_out)
     yield from service.list_samples()
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -23,6 +23,7 @@
 from ...helpers.datagrams import DatagramSocket
 from ...helpers.decisions import DecisionLog
 from ...helpers.samples import LatencyHistogram, Sample
+from ...model.domains import DrainedDomains
 from ...model.node import NodeSettings
 from ...protocol.segments import SegmentCodec
 from ..directory.inner import InnerSocket
@@ -58,6 +59,7 @@
         # this task: other balancers, and agents.
         self.list_peers: Callable[[], tuple[str, ...]] = tuple
         self.list_near: Callable[[], frozenset[str]] = frozenset
+        self.find_drained: Callable[[], DrainedDomains | None] = lambda: None
         self.unreadable = 0
         self._packet_at = read_clock()
         self._codec = codec
@@ -92,7 +94,7 @@
     def meet(self, peer: str) -> None:
         """Ask a new agent for its status."""
         self.balancer.expect(peer, read_clock())
-        self._inner.send(peer, Introduce())
+        self._inner.send(peer, Introduce(self.find_drained()))
 
     def finish_list(self, named: frozenset[str]) -> None:
         """Take the list of all agents from control."""
--- a/ibisshunt/components/versions/__init__.py
+++ b/ibisshunt/components/versions/__init__.py
@@ -1,15 +1,19 @@
-"""Take, keep and give out complete configurations on a control host."""
+"""Take, keep and give out what operators order of a fleet, on a control host."""
 
 from collections.abc import Iterator
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ...coordination.consensus import ConsensusSettings, NotAccepted
 from ...coordination.consensus.membership import list_voters, name_of
 from ...coordination.versions import (
+    DomainOutcome,
+    FleetState,
     Outcome,
-    VersionStore,
+    decode_domain_outcome,
     decode_outcome,
+    encode_domain_command,
     encode_put,
 )
 from ...core import Kernel
@@ -39,19 +43,20 @@
 
 
 class VersionService:
-    """Offer the newest configuration to the other services of this process."""
+    """Offer configuration and drained domains to the other services here."""
 
     def __init__(
-        self, store: VersionStore, log: ReplicatedLog, wanted_voters: int
+        self, state: FleetState, log: ReplicatedLog, wanted_voters: int
     ) -> None:
-        self.store = store
+        self.state = state
         self._log = log
         self._wanted = wanted_voters
         self.puts = LatencyHistogram("ibisshunt_accept_seconds")
+        self.orders = LatencyHistogram("ibisshunt_domain_order_seconds")
 
     def put(self, version: int, body: bytes) -> Result[Outcome, Fault]:
         """Return once the version is accepted or known to be overtaken."""
-        if fault := self._find_obstacle():
+        if fault := self._find_obstacle("put configuration"):
             return Failure(fault)
         began = read_clock()
         result = self._log.propose(encode_put(version, body), ANSWER_SECONDS)
@@ -68,7 +73,30 @@
     def get(self) -> Result[bytes, Fault]:
         """Return the newest accepted configuration; fail when that is not sure."""
         passed = self._log.read_barrier(ANSWER_SECONDS)
-        return passed.bind(lambda index: Success(self.store.body))
+        return passed.bind(lambda index: Success(self.state.versions.body))
+
+    def order(self, domain: str, is_drained: bool) -> Result[DomainOutcome, Fault]:
+        """Return once a failure domain is drained, or open again, by the log."""
+        if fault := self._find_obstacle("order domain"):
+            return Failure(fault)
+        known = self.state.domains.find_revision(domain)
+        command = encode_domain_command(domain, is_drained, known)
+        began = read_clock()
+        result = self._log.propose(command, ANSWER_SECONDS)
+        self.orders.observe(read_clock() - began)
+        outcome = result.map(decode_domain_outcome)
+        log_event(
+            "domain_ordered",
+            domain=domain,
+            drained=is_drained,
+            known=known,
+            outcome=outcome.value_or(None) or outcome.failure(),
+        )
+        return outcome
+
+    def is_current(self) -> bool:
+        """Tell whether this host holds all that was accepted before the call."""
+        return is_successful(self._log.read_barrier(ANSWER_SECONDS))
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Ask these hosts for admission too, if this one has yet to be admitted."""
@@ -78,34 +106,35 @@
     def list_samples(self) -> Iterator[Sample]:
         """Yield the samples of the metrics page."""
         yield from list_samples(self._log)
-        version = self.store.version
+        version = self.state.versions.version
         yield Sample("ibisshunt_configuration_version", SampleKind.GAUGE, {}, version)
+        drained = len(self.state.domains.list_drained().domains)
+        yield Sample("ibisshunt_drained_domains", SampleKind.GAUGE, {}, drained)
         yield from self.puts.list_samples()
+        yield from self.orders.list_samples()
 
     def list_control(self) -> tuple[str, ...]:
         """Return the addresses of the control hosts."""
         members = self._log.driver.state.log.membership.members
         return tuple(sorted({name_of(member.host) for member in members}))
 
-    def _find_obstacle(self) -> Fault | None:
+    def _find_obstacle(self, step: str) -> Fault | None:
         voters = list_voters(self._log.driver.state.log.membership)
         if len(voters) >= self._wanted:
             return None
         # With fewer voters the losses that must be borne could take what was
         # accepted with them.
         reason = f"{len(voters)} voters, {self._wanted} wanted"
-        return NotAccepted("put configuration", "", reason)
+        return NotAccepted(step, "", reason)
 
 
-def setup(
-    kernel: Kernel, settings: NodeSettings, store: VersionStore
-) -> VersionService:
-    """Start the replicated log that drives ``store``; register it as "versions".
+def setup(kernel: Kernel, settings: NodeSettings, state: FleetState) -> VersionService:
+    """Start the replicated log that drives ``state``; register it as "versions".
 
     Hosts go by their addresses: a replaced host comes with a new one, and the log
     itself tells who is a member.
     """
-    machine = StateMachine(store.apply, store.take_snapshot, store.restore)
+    machine = StateMachine(state.apply, state.take_snapshot, state.restore)
     port = settings.inner_calls.port
     peers = {seed: Address(seed, port) for seed in settings.seeds}
     control = ControlSettings(
@@ -134,7 +163,7 @@
     server = FramedServer(settings.inner_calls, consensus.make_handlers(log))
     server.start()
     log.start()
-    service = VersionService(store, log, wanted)
+    service = VersionService(state, log, wanted)
 
     def unload() -> None:
         log.stop()
--- a/ibisshunt/coordination/directory/contacts.py
+++ b/ibisshunt/coordination/directory/contacts.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from .messages import Hello, NodeRole, Welcome
+from ...model.domains import DrainedDomains
+from .messages import UNHEARD_REVISION, Hello, NodeRole, Welcome
 
 # How long a node is kept that no control host lists any more, as while control is cut
 # off.
@@ -30,9 +31,15 @@
         """Replace the seeds by those of newer settings."""
         self.seeds = tuple(seeds)
 
-    def make_hello(self, version: int, is_empty: bool = False) -> Hello:
+    def make_hello(
+        self,
+        version: int,
+        is_empty: bool = False,
+        drained: DrainedDomains | None = None,
+    ) -> Hello:
         """Return the introduction for the control hosts."""
-        return Hello(self.role, version, self.digest, self.domain, is_empty)
+        revision = UNHEARD_REVISION if drained is None else drained.revision
+        return Hello(self.role, version, self.digest, self.domain, is_empty, revision)
 
     def list_control(self, now: float) -> list[str]:
         """Return the control hosts to introduce this node to."""
--- a/ibisshunt/coordination/directory/messages.py
+++ b/ibisshunt/coordination/directory/messages.py
@@ -5,6 +5,10 @@
 
 import msgspec
 
+from ...model.domains import DrainedDomains
+
+# The revision of drained domains that a node tells which has heard of none.
+UNHEARD_REVISION = -1
 # Numbers that count something: a message with another one is refused when it is read.
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -21,7 +25,8 @@
 
     ``version`` is the configuration it holds, ``digest`` the list of nodes it knows,
     ``domain`` its failure domain. ``is_empty`` tells that it holds no flows and will
-    hold none: its target has gone.
+    hold none: its target has gone. ``drained_revision`` is that of the drained domains
+    it holds.
     """
 
     role: NodeRole
@@ -29,6 +34,7 @@
     digest: int
     domain: str = ""
     is_empty: bool = False
+    drained_revision: int = UNHEARD_REVISION
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -38,7 +44,8 @@
     that it knows them; ``peers`` are nodes of its role and failure domain, and come
     with ``nodes``; so do ``near``, those of ``nodes`` in its failure domain.
     ``control`` are the control hosts. ``settled`` tells that the sender has run for
-    long enough to have heard all nodes.
+    long enough to have heard all nodes. ``drained`` are the drained domains, None while
+    the sender cannot be sure of them.
     """
 
     version: Count
@@ -48,6 +55,7 @@
     peers: tuple[str, ...] = ()
     settled: bool = False
     near: tuple[str, ...] = ()
+    drained: DrainedDomains | None = None
 
 
 class Leave(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -55,13 +63,23 @@
 
 
 class Introduce(msgspec.Struct, frozen=True, array_like=True, tag="i"):
-    """Tell an agent of a balancer that wants its status."""
+    """Tell an agent of a balancer that wants its status.
+
+    ``drained`` are the drained domains that the balancer holds: an agent that starts
+    while control is away learns of them from it.
+    """
+
+    drained: DrainedDomains | None = None
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True, tag="n"):
-    """Tell that the sender holds a configuration of that version."""
+    """Tell that the sender holds that version of the configuration.
+
+    ``drained`` are the drained domains, None while it cannot be sure of them.
+    """
 
     version: Count
+    drained: DrainedDomains | None = None
 
 
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="f"):
--- a/ibisshunt/coordination/directory/registry.py
+++ b/ibisshunt/coordination/directory/registry.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from .messages import Hello, NodeRole, Welcome
+from ...model.domains import DrainedDomains
+from .messages import UNHEARD_REVISION, Hello, NodeRole, Welcome
 
 # A node that was silent this long is left out: longer than a restart, so that a list
 # does not change at each.
@@ -35,6 +36,7 @@
     heard_at: float
     domain: str = ""
     is_empty: bool = False
+    drained_revision: int = UNHEARD_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,22 +75,39 @@
         version: int,
         control: tuple[str, ...],
         now: float,
+        drained: DrainedDomains | None = None,
     ) -> Welcome:
-        """Take an introduction; return the answer."""
+        """Take an introduction; return the answer.
+
+        The drained domains go along when the node does not hold them.
+        """
         role = NodeRole(hello.role)
         known = self.nodes.get(address)
         self.nodes[address] = Node(
-            role, hello.version, now, hello.domain, hello.is_empty
+            role,
+            hello.version,
+            now,
+            hello.domain,
+            hello.is_empty,
+            hello.drained_revision,
         )
+        told = drained if _is_behind(hello.drained_revision, drained) else None
         if known is None or (known.role, known.domain) != (role, hello.domain):
             self._lists.clear()
         lists = self._find_lists(role, hello.domain)
         settled = now >= self._settled_at
         if hello.digest == lists.digest:
-            return Welcome(version, lists.digest, control, None, (), settled)
+            return Welcome(version, lists.digest, control, None, (), settled, (), told)
         peers = tuple(peer for peer in lists.peers if peer != address)
         return Welcome(
-            version, lists.digest, control, lists.nodes, peers, settled, lists.near
+            version,
+            lists.digest,
+            control,
+            lists.nodes,
+            peers,
+            settled,
+            lists.near,
+            told,
         )
 
     def remove(self, address: str) -> bool:
@@ -123,10 +142,14 @@
             if not node.is_empty
         )
 
-    def list_behind(self, version: int) -> list[str]:
-        """Return the nodes that hold an older configuration."""
+    def list_behind(
+        self, version: int, drained: DrainedDomains | None = None
+    ) -> list[str]:
+        """Return the nodes that hold an older configuration or drained domains."""
         return [
-            address for address, node in self.nodes.items() if node.version < version
+            address
+            for address, node in self.nodes.items()
+            if node.version < version or _is_behind(node.drained_revision, drained)
         ]
 
     def _find_lists(self, role: NodeRole, domain: str) -> _Lists:
@@ -151,6 +174,10 @@
         )
 
 
+def _is_behind(revision: int, drained: DrainedDomains | None) -> bool:
+    return drained is not None and revision < drained.revision
+
+
 def make_digest(addresses: Iterable[str]) -> int:
     """Return a number that changes with a list of addresses; never 0."""
     return crc32(",".join(addresses).encode()) or 1
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -1,10 +1,14 @@
 """Decide what an agent does with packets to and from its target."""
 
 from collections.abc import Callable
+from math import ceil
 
+from ...model.domains import DrainedDomains
+from .holding.cold_limit import compute_quota
 from .holding.held import HeldFlow
 from .holding.held_flows import MAX_FLOW_SECONDS, HeldFlows
 from .holding.incarnations import Announcement, Word
+from .holding.intake import Intake, Refusal
 from .holding.own_target import OwnTarget
 from .holding.probed import ProbedFlows
 from .holding.requests import UNANSWERED_SECONDS, RequestLog
@@ -22,20 +26,21 @@
     Told,
     ToTarget,
 )
-from .placing.waiting import WaitingLine
 from .routes import RouteTable, make_tag
 from .segment import Segment
 
-# How long a flow that has opened counts as a request that is about to come: the
-# handshake and the request take two round trips to the caller.
-OPENING_SECONDS = 0.03
 FORGET_EACH_SECONDS = 1.0
 
 Action = Send | ToTarget | ToCaller
 
 
 class Agent:
-    """Own what one agent knows of its target and the target's flows."""
+    """Own what one agent knows of its target and the target's flows.
+
+    ``domain`` is the target's failure domain; without one it cannot be drained. A cold
+    target gets at most ``cold_overage`` times what its service allows in a second, and
+    ``cold_slack`` new flows more.
+    """
 
     def __init__(
         self,
@@ -46,10 +51,14 @@
         tell: Callable[..., None] = lambda event, **fields: None,
         max_flow_seconds: float = MAX_FLOW_SECONDS,
         observe: Callable[[float], None] = lambda seconds: None,
+        domain: str = "",
+        cold_overage: float = 1.0,
+        cold_slack: float = 0.0,
     ) -> None:
         self.service = service
         self.start = start
-        self.target = OwnTarget(heartbeat_seconds, now, tell)
+        self.domain = domain
+        self.target = OwnTarget(heartbeat_seconds, now, tell, None if domain else False)
         self.held = HeldFlows(max_flow_seconds, now)
         self.routes = RouteTable()
         self.requests = RequestLog(tell, observe, self._find_timeout)
@@ -58,9 +67,10 @@
         self._tag = make_tag(service)
         self._tell_event = tell
         self._number = 0
-        self._opening: dict[bytes, float] = {}
+        self._cold_overage = cold_overage
+        self._cold_slack = cold_slack
         self._probed = ProbedFlows()
-        self._line = WaitingLine()
+        self._intake = Intake(self.target, self.requests, self._find_quota, now)
         self._forget_at = now
 
     @property
@@ -132,6 +142,20 @@
         if routes.version > self.routes.version:
             self.routes = routes
 
+    def take_drained(self, drained: DrainedDomains) -> bool:
+        """Take the drained domains; return whether the target's own one has changed."""
+        is_drained = self.domain in drained.domains
+        if not self.target.note_drained(is_drained):
+            return False
+        self._tell_event(
+            "own_domain_state",
+            domain=self.domain,
+            state="drained" if is_drained else "open",
+            revision=drained.revision,
+            flows=len(self.flows),
+        )
+        return True
+
     def sweep(self, now: float) -> bool:
         """Forget what is over; return whether the target was lost just now."""
         self.requests.sweep(now)
@@ -165,29 +189,21 @@
         self, origin: str, message: Deliver, segment: Segment, now: float
     ) -> Send | ToTarget:
         if message.tag != self._tag:
-            return self._return(origin, Reason.OTHER_SERVICE, segment)
+            return self._return(origin, Refusal(Reason.OTHER_SERVICE), segment)
         if segment.opens and not segment.acknowledges:
             return self._take_opening(origin, segment, message.limit, now)
         if not self.held.may_hold(segment, self.state, now):
-            return self._return(origin, Reason.NOT_HELD, segment)
+            return self._return(origin, Refusal(Reason.NOT_HELD), segment)
         if segment.data:
-            self._opening.pop(segment.key, None)
+            self._intake.end(segment.key)
         return self._hand_over(origin, segment, now)
 
     def _take_opening(
         self, origin: str, segment: Segment, limit: int, now: float
     ) -> Send | ToTarget:
-        if not self.target.takes_flows:
-            return self._return(origin, Reason.NOT_OPEN, segment)
-        # Balancers that all heard of a free slot send their flows together, before
-        # the first shows in a status: what exceeds their limit goes back, and one of
-        # them finds a better target.
-        self._line.note_offer(origin)
-        load = self.count_load(now)
-        if segment.key not in self._opening and load > limit:
-            self._line.join(origin, now)
-            return self._return(origin, Reason.FULL, segment, load)
-        self._opening[segment.key] = now
+        if refusal := self._intake.refuse(origin, segment.key, limit, now):
+            return self._return(origin, refusal, segment)
+        self._intake.take(segment.key, now)
         self.held.find_or_add(segment.key, now).begin_again(now)
         return self._hand_over(origin, segment, now)
 
@@ -196,19 +212,19 @@
         self.delivered += 1
         return ToTarget(origin, segment)
 
-    def _return(
-        self, origin: str, reason: Reason, segment: Segment, load: int = 0
-    ) -> Send:
+    def _return(self, origin: str, refusal: Refusal, segment: Segment) -> Send:
         self.returned += 1
         self._tell_event(
             "packet_sent_back",
             flow=segment.key.hex(),
             peer=origin,
-            reason=reason.name,
+            reason=refusal.reason.name,
             state=self.state.name,
             opens=segment.opens,
         )
-        return Send(origin, Returned(reason, segment.raw, load))
+        wait_ms = ceil(1000 * refusal.wait)
+        message = Returned(refusal.reason, segment.raw, refusal.load, wait_ms)
+        return Send(origin, message)
 
     # The way out.
 
@@ -231,14 +247,14 @@
     def _take_bounced(self, segment: Segment) -> Action:
         """Take back a caller's packet that the target does not hold, or cannot take."""
         flow = self.held.find(segment.key)
-        self._opening.pop(segment.key, None)
+        self._intake.end(segment.key)
         if flow is not None and (flow.first is None or not segment.opens):
             self.held.drop(segment.key)
             self.requests.end(segment.key)
         if self._probed.is_open(segment.key):
             return self._probed.settle(segment.key, is_held=False)
         origin = ".".join(str(part) for part in segment.origin)
-        return self._return(origin, Reason.BOUNCED, segment)
+        return self._return(origin, Refusal(Reason.BOUNCED), segment)
 
     def _take_unproved_reset(self, segment: Segment, flow: HeldFlow) -> list[Action]:
         """Take a target's reset of a flow that may be open elsewhere.
@@ -250,14 +266,14 @@
         all others.
         """
         self.held.drop(segment.key)
-        self._opening.pop(segment.key, None)
+        self._intake.end(segment.key)
         self._tell_event("reset_kept_back", flow=segment.key.hex())
         if self._probed.is_open(segment.key):
             return [self._probed.settle(segment.key, is_held=False)]
         if flow.asked is None:
             return []
         reason = Reason.BOUNCED if flow.asked.opens else Reason.NOT_HELD
-        return [self._return(flow.origin, reason, flow.asked)]
+        return [self._return(flow.origin, Refusal(reason), flow.asked)]
 
     # Answers to searches.
 
@@ -288,19 +304,16 @@
 
     def count_load(self, now: float) -> int:
         """Return the requests at the target and the flows that have just opened."""
-        while self._opening:
-            key = next(iter(self._opening))
-            if now - self._opening[key] < OPENING_SECONDS:
-                break
-            del self._opening[key]
-        return self.requests.active + len(self._opening)
+        return self._intake.count_load(now)
 
     def take_waiting(self, now: float) -> str | None:
         """Return the balancer to tell of a free slot, None when no one waits for it."""
-        if not self.target.takes_flows:
-            return None
-        room = self.requests.slots - self.count_load(now)
-        return self._line.take(room, now)
+        return self._intake.take_waiting(now)
+
+    def _find_quota(self) -> int | None:
+        """Return how many new flows a cold target may get in a second, None for any."""
+        rate = self.routes.cold_rates.get(self.service, 0.0)
+        return compute_quota(rate, self._cold_overage, self._cold_slack)
 
     def _find_timeout(self, key: bytes) -> float:
         """Return for how many seconds the caller of a flow waits for an answer."""
@@ -315,11 +328,11 @@
         self._tell_event(
             "target_replaced", target=former.name, flows=flows, unsure=unsure
         )
-        self._opening.clear()
+        self._intake.clear()
         self.requests.clear()
         self.requests.forget_target()
 
     def _drop_flows(self) -> None:
         self.flows.clear()
-        self._opening.clear()
+        self._intake.clear()
         self.requests.clear()
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -167,8 +167,7 @@
             opens=segment.opens,
         )
         if segment.opens:
-            if message.reason == Reason.FULL and address in self.targets:
-                self.targets[address].correct(message.load, now)
+            self._correct(address, message, now)
             return self._opener.offer_again(address, message.reason, segment, flow, now)
         is_searched = self.searches.is_open(segment.key)
         if flow is not None and flow.address == address and not is_searched:
@@ -177,6 +176,16 @@
             return self.searches.answer(address, segment.key, Answer.NOT_HELD, now)
         return self._search(segment, frozenset((address,)), now)
 
+    def _correct(self, address: str, message: Returned, now: float) -> None:
+        """Take what an agent that refused a flow told of its target's load."""
+        target = self.targets.get(address)
+        if target is None:
+            return
+        if message.reason == Reason.FULL:
+            target.correct(message.load, now)
+        elif message.reason == Reason.COLD:
+            target.rests_until = now + message.wait_ms / 1000
+
     def open_again(self, now: float) -> list[Action]:
         """Offer the opening packets that wait; call when a load has changed."""
         return self._opener.open_again(now)
--- a/ibisshunt/coordination/forwarding/holding/own_target.py
+++ b/ibisshunt/coordination/forwarding/holding/own_target.py
@@ -14,26 +14,53 @@
     """Own the state of the target beside one agent, from its heartbeats.
 
     ``heartbeat`` is the seconds between two of them; the agent starts at ``now``.
+    ``is_drained`` tells whether its failure domain is drained, None while the agent has
+    not heard: an order may be in force, so the target gets no new flow until then.
     """
 
-    def __init__(self, heartbeat: float, now: float, tell: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        heartbeat: float,
+        now: float,
+        tell: Callable[..., None],
+        is_drained: bool | None = False,
+    ) -> None:
         self.state = TargetState.ABSENT
         self.incarnations = Incarnations()
         self.announced_at = now
         self.is_paused = False
+        self.is_drained = is_drained
         self._tell_event = tell
         self._heartbeat = heartbeat
         self._warm_at = now
+        # Whether a heartbeat has come since the last order for failure domains.
+        self._is_heard_since = True
 
     @property
     def present(self) -> Announcement | None:
         """Return the last heartbeat of the present incarnation."""
         return self.incarnations.present
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the target would take new flows, and its agent goes on."""
+        return self.state == TargetState.OPEN and not self.is_paused
+
     @property
     def takes_flows(self) -> bool:
         """Tell whether new flows may go to the target."""
-        return self.state == TargetState.OPEN and not self.is_paused
+        return self.is_open and self.is_drained is False
+
+    def note_drained(self, is_drained: bool) -> bool:
+        """Take newer drained domains; return whether the target's own has changed.
+
+        The domain may have been drained and opened again since the former ones.
+        """
+        if self.is_drained is not None:
+            self._is_heard_since = False
+        changed = is_drained != self.is_drained
+        self.is_drained = is_drained
+        return changed
 
     def classify(self, found: Announcement) -> Word:
         """Tell what a heartbeat is; LATE and UNCLEAR ones are not to be taken."""
@@ -44,6 +71,7 @@
         self.incarnations.take(found)
         self.announced_at = now
         self._warm_at = now + found.warm_left / 1000
+        self._is_heard_since = True
         before = self.state
         self.state = TargetState.DRAINING if found.draining else TargetState.OPEN
         if before != self.state:
@@ -92,12 +120,22 @@
     def find_told_state(self, has_flows: bool, now: float) -> TargetState:
         """Return what balancers are told of the target."""
         is_heard = self.state in (TargetState.OPEN, TargetState.DRAINING)
-        if self.is_paused and is_heard:
+        if is_heard and (self.is_paused or self.is_drained is None):
             return TargetState.PAUSED
+        if is_heard and self.is_drained:
+            return TargetState.DRAINING
         if self.state == TargetState.ABSENT and not has_flows and self.is_dead(now):
             return TargetState.DEAD
         return self.state
 
+    def may_be_cold(self, now: float) -> bool:
+        """Tell whether the target is cold as far as the agent knows.
+
+        Targets of a domain that was drained may have turned cold meanwhile, without a
+        restart: only a heartbeat that came since tells that one is warm.
+        """
+        return now < self._warm_at or not self._is_heard_since
+
     def find_warm_left(self, now: float) -> int:
         """Return for how many milliseconds the target is still cold."""
         return max(0, int(1000 * (self._warm_at - now)))
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -44,13 +44,19 @@
 
 
 class Reason(IntEnum):
-    """Tell why an agent sent a packet back."""
+    """Tell why an agent sent a packet back.
+
+    DRAINED: the target's failure domain is drained. COLD: the target is cold and has
+    got all the new flows that it may get in this second.
+    """
 
     BOUNCED = 0
     NOT_HELD = 1
     NOT_OPEN = 2
     OTHER_SERVICE = 3
     FULL = 4
+    DRAINED = 5
+    COLD = 6
 
 
 # A load that no target has, in requests.
@@ -98,12 +104,14 @@
 class Returned(msgspec.Struct, frozen=True, array_like=True, tag="r"):
     """Send a packet back to the balancer it came from.
 
-    ``load`` is how many requests are at the target now.
+    ``load`` is how many requests are at the target now, ``wait_ms`` for how many
+    milliseconds it takes no new flow.
     """
 
     reason: Reason
     packet: bytes
     load: Count = 0
+    wait_ms: Count = 0
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="a"):
--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Callable
 
-from ..messages import Deliver, Reset, Send
+from ..messages import Deliver, Reason, Reset, Send
 from ..routes import Route, choose_service, make_tag
 from ..searching.searches import deliver
 from ..segment import Segment
 from ..state import BalancerState
-from .admission import Verdict, find_patience, judge_opening, limit_requests
+from .admission import (
+    HOLD_SECONDS,
+    Verdict,
+    find_patience,
+    judge_opening,
+    limit_requests,
+)
 from .placed import NO_OFFERS, Flow, Offers
 from .placement import Target, choose_target
 
@@ -99,7 +105,10 @@
         if route is None:
             return [Reset(segment, "no_route")]
         service = choose_service(route, segment.key)
-        offers = (flow.offers if flow else NO_OFFERS).add(address, reason)
+        offers = flow.offers if flow else NO_OFFERS
+        if reason != Reason.COLD:
+            # A cold target takes the flow a little later, when no other does before.
+            offers = offers.add(address, reason)
         return self._admit(segment, route, service, offers, now)
 
     def _is_trusted(self, target: Target, flow: Flow, now: float) -> bool:
@@ -158,7 +167,8 @@
             for found in self.state.known.list_of(service)
             if found.address not in offers.tried
         ]
-        if self._is_worth_waiting(untried, now):
+        deadline = self.state.find_began(segment, now) + HOLD_SECONDS
+        if self._is_worth_waiting(untried, deadline, now):
             return self._hold(segment, now)
         return self._refuse(segment, service, offers, "no_target")
 
@@ -213,11 +223,17 @@
         self.state.flows.pop(segment.key, None)
         return []
 
-    def _is_worth_waiting(self, targets: list[Target], now: float) -> bool:
+    def _is_worth_waiting(
+        self, targets: list[Target], deadline: float, now: float
+    ) -> bool:
         """Tell whether a target may be back before the caller gives up.
 
-        Targets that drain or have gone will not; one that was lost long ago neither.
+        Targets that drain or have gone will not; one that was lost long ago neither,
+        and a cold one only when it takes new flows again before ``deadline``.
         """
         if self.state.known.is_learning(now):
             return True
-        return any(target.may_return(now) for target in targets)
+        return any(
+            target.may_return(now) and target.rests_until < deadline
+            for target in targets
+        )
--- a/ibisshunt/coordination/forwarding/placing/placement.py
+++ b/ibisshunt/coordination/forwarding/placing/placement.py
@@ -54,7 +54,8 @@
     ``corrected``, when the agent refused a flow and tells on its own when a slot is
     free. ``incarnation`` is the tag of the target's last known incarnation.
     ``is_doubted`` tells that its agent is being pinged, ``is_deaf`` that it did not
-    answer pings that others did; its next word ends both.
+    answer pings that others did; its next word ends both. Until ``rests_until`` it is
+    cold and takes no new flow.
     """
 
     address: str
@@ -68,6 +69,7 @@
     incarnation: int = 0
     is_doubted: bool = False
     is_deaf: bool = False
+    rests_until: float = 0.0
 
     def take(self, status: Status, now: float) -> None:
         """Take a newer word; flows placed just now are not in it yet."""
@@ -103,7 +105,8 @@
 
     def is_candidate(self, now: float) -> bool:
         """Tell whether new flows may go there."""
-        return self.status.state == TargetState.OPEN and not self.is_silent(now)
+        is_open = self.status.state == TargetState.OPEN
+        return is_open and now >= self.rests_until and not self.is_silent(now)
 
     def is_silent(self, now: float) -> bool:
         """Tell whether its agent has missed its statuses, or has not answered pings."""
--- a/ibisshunt/coordination/forwarding/routes.py
+++ b/ibisshunt/coordination/forwarding/routes.py
@@ -37,10 +37,15 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True):
-    """Hold all routes of one version, by place (address and port, six bytes)."""
+    """Hold all routes of one version, by place (address and port, six bytes).
+
+    ``cold_rates`` tells how many requests a second a cold target of a service bears;
+    services without a limit are not in it.
+    """
 
     version: int = 0
     routes: Mapping[bytes, Route] = msgspec.field(default_factory=dict)
+    cold_rates: Mapping[str, float] = msgspec.field(default_factory=dict)
 
     def find(self, place: bytes) -> Route | None:
         """Return the route of a place, or None."""
--- a/ibisshunt/model/node.py
+++ b/ibisshunt/model/node.py
@@ -13,6 +13,9 @@
     tells whether a control host with an empty disk may found the cluster.
     ``losses`` is how many control hosts may be lost at once. ``heartbeat`` is how
     often a target speaks, ``max_flow`` how long a flow lives, both in seconds.
+    ``domains`` are the names of all failure domains, none when they are not told.
+    A cold target may get ``cold_overage`` times the rate that its service allows, and
+    ``cold_slack`` new flows more, in any second.
     """
 
     name: str
@@ -32,3 +35,6 @@
     target: Address | None = None
     service: str = ""
     data_folder: str = ""
+    domains: frozenset[str] = frozenset()
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
--- a/ibisshunt/platform/configuration.py
+++ b/ibisshunt/platform/configuration.py
@@ -34,7 +34,10 @@
 
 
 class _Service(msgspec.Struct, rename="pascal"):
+    """Hold one service; ``warmup_per_s`` is 0 for a target that bears any rate cold."""
+
     name: str
+    warmup_per_s: float = 0.0
 
 
 class _Body(msgspec.Struct, rename="pascal"):
@@ -68,7 +71,12 @@
                 f"{route.path_prefix} is taken by {routes[place].name}"
             )
         routes[place] = _translate_route(route, services)
-    return RouteTable(body.version, routes)
+    cold_rates = {
+        service.name: service.warmup_per_s
+        for service in body.services
+        if service.warmup_per_s > 0
+    }
+    return RouteTable(body.version, routes, cold_rates)
 
 
 def _translate_route(route: _Route, services: set[str]) -> Route:
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -85,6 +85,7 @@
     )
     task.list_peers = lambda: directory.contacts.peers
     task.list_near = lambda: directory.contacts.near
+    task.find_drained = lambda: directory.drained
     checkpoints = CheckpointTask(
         settings.address,
         task.balancer,
@@ -143,6 +144,7 @@
         task.meet,
         settings.failure_domain,
         is_empty=task.has_lost_target,
+        take_drained=task.take_drained,
     )
     kernel.spawn("inner", inner.run)
     kernel.spawn("directory", directory.run)
@@ -173,13 +175,13 @@
     from ..components.directory.archive import ArchiveTask
     from ..components.directory.control import ControlDirectory
     from ..components.directory.known import open_files
-    from ..coordination.versions import VersionStore
+    from ..coordination.versions import FleetState
     from ..helpers.threads import run_in_thread
 
     inner = InnerSocket(settings.inner)
     files = open_files(settings.data_folder)
-    store = VersionStore()
-    directory = ControlDirectory(inner, store, tuple, files)
+    state = FleetState()
+    directory = ControlDirectory(inner, state, tuple, files)
     archive = ArchiveTask(inner, files.files, run_in_thread)
     kernel.spawn("inner", inner.run)
     directory.greet()
@@ -188,13 +190,15 @@
     from ..components.web.wsgi import serve
     from .operator import answer_operator
 
-    service = versions.setup(kernel, settings, store)
+    service = versions.setup(kernel, settings, state)
     directory.list_control = service.list_control
     kernel.spawn("directory", directory.run)
     kernel.spawn("directory-files", directory.run_saving)
+    kernel.spawn("directory-drained", directory.run_drained)
+    kernel.spawn("directory-confirm", directory.run_confirming, service.is_current)
     kernel.spawn("flow-archive", archive.run_saving)
     kernel.register("directory", directory, dump=directory.dump)
-    server = serve(settings.control, answer_operator(service))
+    server = serve(settings.control, answer_operator(service, settings.domains))
     kernel.register("calls", server, unload=lambda: server.stop(timeout=0))
     _show_metrics(kernel, settings, service.list_samples, inner.list_samples)
     kernel.register(RELOAD, service.take_seeds)
--- a/ibisshunt/platform/settings.py
+++ b/ibisshunt/platform/settings.py
@@ -17,7 +17,8 @@
     """Hold what we read of the file; unknown fields are left out.
 
     ``bootstrap`` is true at the very first start of the whole system alone, and
-    ``seeds`` are control addresses at the time of writing.
+    ``seeds`` are control addresses at the time of writing. ``zones`` gives the region
+    of each failure domain.
     """
 
     node_name: str
@@ -30,6 +31,7 @@
     heartbeat_ms: int = 1000
     fault_tolerance: dict[str, int] = {}
     bounds: dict[str, Any] = {}
+    zones: dict[str, str] = {}
     data_dir: str = ""
     service: str = ""
     app: str = msgspec.field(name="app", default="")
@@ -83,6 +85,9 @@
         target=_find(path, "app", app),
         service=file.service,
         data_folder=file.data_dir,
+        domains=frozenset(file.zones),
+        cold_overage=float(file.bounds.get("WarmupOverage", 1)),
+        cold_slack=float(file.bounds.get("WarmupSlack", 0)),
     )
 
 
--- a/soak/standin.py
+++ b/soak/standin.py
@@ -25,6 +25,7 @@
 READY = 17_167
 METRICS = 9464
 SERVICE = "huvo11a"
+ZONES = ("a", "b")
 PLACE = ("198.18.0.1", 8443)
 DEADLINE_SECONDS = 30.0
 
@@ -56,10 +57,11 @@
 class Process:
     """Own one program of ours, with settings as the platform writes them."""
 
-    def __init__(self, folder, role, ip, seeds, listen, losses=None, **more):
+    def __init__(self, folder, role, ip, seeds, listen, losses=None, zone="a", **more):
         self.path = folder / f"{role}-{ip}.toml"
         self.lock = threading.Lock()
         self.losses = losses or {}
+        self.zone = zone
         self.role = role
         self.fields = {"ip": ip, "seeds": seeds, "listen": listen, "more": more}
         self.write()
@@ -72,13 +74,15 @@
         lines = [
             f'NodeName = "{self.role}"',
             f'Ip = "{self.fields["ip"]}"',
-            'Zone = "a"',
+            f'Zone = "{self.zone}"',
             f"InternalPortRange = [{INNER}, {INNER + 9}]",
             f"Seeds = {json.dumps(self.fields['seeds'])}",
             *[
                 f"{key} = {json.dumps(found)}"
                 for key, found in self.fields["more"].items()
             ],
+            "[Zones]",
+            *[f'{zone} = "region"' for zone in ZONES],
             "[ListenAddrs]",
             *[f'{key} = "{found}"' for key, found in self.fields["listen"].items()],
             "[FaultTolerance]",
--- a/tests/components/directory/test_control.py
+++ b/tests/components/directory/test_control.py
@@ -7,7 +7,7 @@
 from ibisshunt.components.storage.files import run_here
 from ibisshunt.coordination.directory.download import Download
 from ibisshunt.coordination.directory.messages import Fetch, Hello, NodeRole, Notice
-from ibisshunt.coordination.versions import VersionStore, encode_put
+from ibisshunt.coordination.versions import FleetState, encode_put
 
 from ..storage.memory_files import MemoryFiles
 
@@ -38,7 +38,7 @@
 def start(files, store=None):
     """Return a control host's directory after a start, and its socket."""
     inner = FakeInner()
-    store = store or VersionStore()
+    store = store or FleetState()
     kept = DirectoryFiles(files, run_here)
     return ControlDirectory(inner, store, lambda: (CONTROL,), kept), inner
 
@@ -59,12 +59,12 @@
 
 def start_again(files):
     """Return socket and log of a host that lost power with the whole fleet."""
-    store = VersionStore()
+    store = FleetState()
     hold(store, 7)
     directory, _ = start(files, store)
     directory.save()
     files.crash()
-    store = VersionStore()
+    store = FleetState()
     directory, inner = start(files, store)
     return directory, inner, store
 
@@ -110,7 +110,7 @@
 def test_a_full_disk_keeps_no_version_from_the_nodes():
     files = MemoryFiles()
     files.room = 0
-    store = VersionStore()
+    store = FleetState()
     hold(store, 7)
     directory, inner = start(files, store)
     directory.save()
@@ -124,7 +124,7 @@
     # After a power loss of the fleet nodes ask each 0.1 s while they know no control
     # host, and nothing is served meanwhile: they are told without being asked.
     files = MemoryFiles()
-    store = VersionStore()
+    store = FleetState()
     hold(store, 7)
     directory, inner = start(files, store)
     inner.take(NODE, Hello(NodeRole.BALANCER, 7, 0))
--- a/tests/components/directory/test_inner_words.py
+++ b/tests/components/directory/test_inner_words.py
@@ -13,7 +13,7 @@
 from ibisshunt.components.storage.files import run_here
 from ibisshunt.coordination.directory.messages import NodeRole
 from ibisshunt.coordination.forwarding.messages import Status
-from ibisshunt.coordination.versions import VersionStore
+from ibisshunt.coordination.versions import FleetState
 from ibisshunt.helpers.clock import read_clock
 from ibisshunt.model.address import Address
 from ibisshunt.platform.packet import CODEC
@@ -49,7 +49,7 @@
 def make_control(inner):
     """Let a control host take messages."""
     files = DirectoryFiles(MemoryFiles(), run_here)
-    return ControlDirectory(inner, VersionStore(), tuple, files)
+    return ControlDirectory(inner, FleetState(), tuple, files)
 
 
 @pytest.fixture(params=[make_balancer, make_control])
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -15,6 +15,7 @@
     PLACE,
     READY,
     SERVICE,
+    ZONES,
     Client,
     Endpoint,
     Process,
@@ -73,11 +74,12 @@
                     "outbound": f"{ip}:{OUTWARD}",
                     "Control": f"{ip}:{CONTROL}",
                 },
+                zone=zone,
                 app=f"{ip}:{APP}",
                 Service=SERVICE,
                 HeartbeatMs=5000,
             )
-            for ip in SIDES
+            for ip, zone in zip(SIDES, ZONES, strict=True)
         ]
         self.endpoints = [
             Endpoint(ip, number) for number, ip in enumerate(SIDES, start=1)
@@ -246,6 +248,55 @@
     assert ask(system, FRONTS[1], 40_001, opened) == home
 
 
+def open_many(system, first_port, count=12):
+    """Open flows through both balancers; return how many each endpoint got."""
+    before = [len(endpoint.flows) for endpoint in system.endpoints]
+    for port in range(first_port, first_port + count):
+        front = FRONTS[port % 2]
+        wait_for(lambda f=front, p=port: system.client.open(f, p), "a flow")
+    after = [len(endpoint.flows) for endpoint in system.endpoints]
+    return [new - old for new, old in zip(after, before, strict=True)]
+
+
+def test_a_drained_domain_gets_no_new_flow_whatever_restarts(system):
+    # Guards against an acknowledged order that is lost with processes: control is
+    # killed right after its acknowledgement, then the domain's agent and a balancer.
+    core = f"{CORE}:{CONTROL}"
+    system.put()
+    system.wait_until_ready()
+    system.wait_until_known()
+    opened = wait_for(lambda: system.client.open(FRONTS[0], 40_001), "a flow")
+    home = ask(system, FRONTS[0], 40_001, opened)
+    drained = ZONES[[endpoint.name for endpoint in system.endpoints].index(home)]
+    number = ZONES.index(drained)
+    assert call(core, "/-/evacuate/nowhere/start", {})[0] == 404
+    assert call(core, f"/-/evacuate/{drained}/start", {})[0] == 200
+    system.core.send(signal.SIGKILL)
+    system.core.wait_for_end()
+    system.core.write(more={**system.core.fields["more"], "Bootstrap": False})
+    system.core.start()
+    side = system.sides[number]
+    wait_for(lambda: "state=drained" in side.read_log(), "the order at the agent")
+    assert open_many(system, 41_001)[number] == 0
+    assert ask(system, FRONTS[1], 40_001, opened) == home
+
+    for process in (side, system.fronts[0]):
+        process.send(signal.SIGKILL)
+        process.wait_for_end()
+        process.start()
+    system.wait_until_ready()
+    assert open_many(system, 42_001)[number] == 0
+
+    wait_for(lambda: call(core, f"/-/evacuate/{drained}/end", {})[0] == 200, "the end")
+    wait_for(
+        lambda: re.search(
+            "own_domain_state .*state=open revision=[1-9]", side.read_log()
+        ),
+        "the end at the agent",
+    )
+    wait_for(lambda: open_many(system, 43_001)[number], "new flows in the domain")
+
+
 def test_configurations_never_revert_and_invalid_ones_are_refused(system):
     # An older version, other content under the version that is held, and an invalid
     # one arrive after version 3; then control loses power and starts again. What is
