Let a host with an empty disk answer a leader that its seeds do not name

Cause, from the trace: a control host loses its disk at 1.5 s while the leader is none of its seeds. It is admitted as a learner, gets the log and has no address to send its answers to (membership and settings name none), so it is left out as silent each 3 s, and admitted again, for 30 s.

The address of the leader is known from the referral that the host follows to ask for admission; it is used for answers now. Ruled out: an address in each envelope (each message of the log would carry it), addresses by the convention that hosts are named by them (holds on the platform alone).

--- a/ibisshunt/components/consensus/joining.py
+++ b/ibisshunt/components/consensus/joining.py
@@ -6,6 +6,7 @@
 import gevent
 
 from ...coordination.consensus import Found, Member, Membership
+from ...coordination.consensus.membership import name_of
 from ...coordination.consensus.state import Event
 from ...exceptions import RpcError
 from ...helpers.logging import log_event
@@ -42,6 +43,10 @@
         self._give = give
         self._may_found = may_found
         self._referred: Address | None = None
+        # Whom this host has a channel to, by peer or address, and where hosts that
+        # answered are reached, by name.
+        self._asked: dict[str, Address] = {}
+        self._met: dict[str, Address] = {}
         self.names = tuple(sorted({name, *peers}))
         self._told = ""
 
@@ -49,6 +54,14 @@
         """Ask these hosts too, from the next round on."""
         self._peers = {**self._peers, **peers}
 
+    def find_address(self, name: str) -> Address | None:
+        """Return where a host that has answered is reached.
+
+        A leader that the settings do not name sends this host the log before any
+        membership is known here; without its address it would hear no answer.
+        """
+        return self._met.get(name)
+
     def run(self, is_done: Callable[[], bool]) -> None:
         """Introduce this host to all peers until it is a member."""
         channels: dict[str, Caller] = {}
@@ -58,8 +71,7 @@
                     gevent.sleep(DONE_PAUSE_SECONDS)
                     continue
                 for name, address in self._peers.items():
-                    if name not in channels:
-                        channels[name] = self._make_channel(address)
+                    self._open(channels, name, address)
                 self._follow_referral(channels)
                 replies = self._greet(channels)
                 self._tell(replies)
@@ -76,8 +88,12 @@
         address = self._referred
         if address is None or address in (self._address, *self._peers.values()):
             return
-        if str(address) not in channels:
-            channels[str(address)] = self._make_channel(address)
+        self._open(channels, str(address), address)
+
+    def _open(self, channels: dict[str, Caller], name: str, address: Address) -> None:
+        if name not in channels:
+            channels[name] = self._make_channel(address)
+            self._asked[name] = address
 
     def _greet(self, channels: Mapping[str, Caller]) -> dict[str, HelloReply]:
         request = HelloRequest(
@@ -89,6 +105,7 @@
                 replies[name] = channel.call(HELLO, request, HELLO_TIMEOUT_SECONDS)
             except RpcError:
                 continue
+            self._met[name_of(replies[name].host)] = self._asked[name]
             if replies[name].leader:
                 found = parse_address(replies[name].leader)
                 self._referred = found.value_or(self._referred)
--- a/ibisshunt/components/consensus/replicated_log.py
+++ b/ibisshunt/components/consensus/replicated_log.py
@@ -225,14 +225,14 @@
         return self._mailbox.send(event)
 
     def find_address(self, host: str) -> Address | None:
-        """Return the address of a host, from the settings or the membership."""
+        """Return the address of a host that settings, members or greetings name."""
         name = name_of(host)
         if name in self.settings.peers:
             return self.settings.peers[name]
         for member in self.driver.state.log.membership.members:
             if member.host == host and member.address:
                 return parse_address(member.address).value_or(None)
-        return None
+        return self.joiner.find_address(name)
 
     def _run(self) -> None:
         next_tick = read_clock()
--- a/tests/components/consensus/test_repair.py
+++ b/tests/components/consensus/test_repair.py
@@ -43,6 +43,22 @@
     lost.log.propose(b"after", 15.0).unwrap()
 
 
+def test_a_host_with_an_empty_disk_joins_a_leader_that_its_settings_do_not_name(hosts):
+    # Guards against a lost disk that is never made good: the new host got the log from
+    # the leader, had no address to answer it at, and was left out again and again.
+    hosts[0].log.propose(b"v", 10.0).unwrap()
+    leader = find_leader(hosts)
+    lost, other = (host for host in hosts if host is not leader)
+    address = lost.address
+    lost.stop()
+    shutil.rmtree(lost.folder)
+    lost.bind(address)
+    lost.start([other])
+    wait_until(lambda: lost.log.driver.host in find_voters(leader))
+    assert is_successful(lost.log.read_barrier(10.0))
+    assert lost.applied == [b"v"]
+
+
 def test_a_proposal_without_quorum_is_unknown(hosts):
     # Both followers die in the moment of a change. It lies in the leader's log and may
     # be accepted when one comes back, so "not accepted" would be a lie.
