Note flows on one control host more than disks may be lost

The number follows from the settings now: losses + 1. Costs half as many bytes of notes again where two losses are borne.

--- a/ibisshunt/components/forwarding/checkpoints.py
+++ b/ibisshunt/components/forwarding/checkpoints.py
@@ -16,15 +16,14 @@
 SEND_SECONDS = 0.25
 # How often it is looked at who has yet to tell the former run's flows.
 ASK_SECONDS = 0.02
-# Control hosts that keep an entry: one may lose its disk with all power.
-COPIES = 2
 
 
 class CheckpointTask:
     """Own the exchange of one balancer's flow entries with control hosts.
 
     ``list_control`` returns the control hosts to ask, ``list_heard`` those that were
-    heard lately.
+    heard lately. Entries are kept by one control host more than ``losses``, the disks
+    that may be lost together with all power.
     """
 
     def __init__(
@@ -34,12 +33,14 @@
         inner: InnerSocket,
         list_control: Callable[[], list[str]],
         list_heard: Callable[[], list[str]],
+        losses: int,
     ) -> None:
         self._address = address
         self._balancer = balancer
         self._inner = inner
         self._list_control = list_control
         self._list_heard = list_heard
+        self._copies = losses + 1
         self._recollection = Recollection(read_clock())
         inner.handle(Recalled, self._take_recalled)
 
@@ -75,7 +76,7 @@
         heard = self._list_heard()
         own = self._address.encode()
         heard.sort(key=lambda control: crc32(own + control.encode()))
-        return heard[:COPIES]
+        return heard[: self._copies]
 
     def _take_recalled(self, peer: str, message: Recalled) -> None:
         now = read_clock()
--- a/ibisshunt/platform/programs.py
+++ b/ibisshunt/platform/programs.py
@@ -92,6 +92,7 @@
         inner,
         directory.list_control,
         directory.list_heard,
+        settings.losses,
     )
 
     def is_ready() -> bool:
--- a/tests/components/directory/test_inner_words.py
+++ b/tests/components/directory/test_inner_words.py
@@ -41,7 +41,12 @@
         inner, NodeRole.BALANCER, (), lambda body: None, task.meet, "a"
     )
     CheckpointTask(
-        "127.0.0.1", task.balancer, inner, directory.list_control, directory.list_heard
+        "127.0.0.1",
+        task.balancer,
+        inner,
+        directory.list_control,
+        directory.list_heard,
+        1,
     )
     return task
 
