Put no late flow behind a queue while others wait

A late flow now takes a free slot, or one place behind it, as long as other flows wait at the same balancer, and is refused at three quarters of its timeout. Alone it is placed as before.

--- a/ibisshunt/coordination/forwarding/placing/admission.py
+++ b/ibisshunt/coordination/forwarding/placing/admission.py
@@ -3,7 +3,9 @@
 The load it answers: a fleet is back after an outage, or a burst is above what the
 targets can do. Requests that have waited are late whatever is done; handed over at
 once they stand in front of all that come after them, which are then late as well. So
-young flows go first, late ones take the slots that are left.
+young flows go first, late ones take the slots that are left. Behind a queue a late one
+is placed only while no other flow waits here: else it would make late all that come
+after it, and its caller would mostly have left before its turn.
 """
 
 from collections.abc import Iterator
@@ -22,6 +24,9 @@
 # The share of a route's timeout after which a late flow waits no more for a free slot;
 # the rest is left for the queue of a target and for the answer.
 LATE_SHARE = 0.5
+# The share of a route's timeout after which a flow that others wait before is refused;
+# the rest is left for another try of its caller.
+LAST_SHARE = 0.75
 # How many agents may refuse a young flow because their load is above what was believed:
 # after that, all targets are loaded more than their last words say.
 MAX_CORRECTIONS = 2
@@ -72,6 +77,10 @@
         """Forget a packet that waits; return it."""
         return self._held.pop(key, None)
 
+    def has_others(self, key: bytes) -> bool:
+        """Tell whether other flows than this one wait."""
+        return len(self._held) > (key in self._held)
+
     def find(self, key: bytes) -> Opening | None:
         """Return the packet of a flow that waits, or None."""
         return self._held.get(key)
@@ -83,10 +92,13 @@
         )
 
 
-def judge_opening(best: Target, age: float, route: Route, now: float) -> Verdict:
+def judge_opening(
+    best: Target, age: float, route: Route, is_crowded: bool, now: float
+) -> Verdict:
     """Decide on a flow whose caller has waited ``age`` seconds.
 
-    ``best`` is the target that it would go to.
+    ``best`` is the target that it would go to, ``is_crowded`` tells that other flows
+    wait at this balancer.
     """
     wait = best.estimate_wait(now)
     service = best.estimate_service(now)
@@ -98,6 +110,8 @@
         return Verdict.PLACE
     if age < find_patience(route):
         return Verdict.HOLD
+    if is_crowded:
+        return Verdict.HOLD if age < find_last_moment(route) else Verdict.REFUSE
     # A target that has answered nothing yet is not known to be slow.
     if wait <= objective or not best.is_measured():
         return Verdict.PLACE
@@ -105,17 +119,23 @@
 
 
 def limit_requests(
-    best: Target, age: float, route: Route, corrections: int, now: float
+    best: Target,
+    age: float,
+    route: Route,
+    corrections: int,
+    is_crowded: bool,
+    now: float,
 ) -> int:
     """Return how many requests may be at a target for it to take a flow.
 
     Its agent knows the present load, the balancer a former one. A young flow is taken
     while it can be in time, and the first few only by a target that is about as loaded
     as was believed; a late one while nobody or one request waits for a slot, or, when
-    it can wait no more, in any case. The one that waits fills the time until the next
-    balancer hears of the slot: without it slots stood empty for a third of the time.
+    it can wait no more and nobody waits here, in any case. The one that waits fills the
+    time until the next balancer hears of the slot: without it slots stood empty for a
+    third of the time.
     """
-    if age >= find_patience(route):
+    if age >= find_patience(route) and not is_crowded:
         return NO_LIMIT
     slots = max(1, best.status.slots)
     left = route.objective_seconds - age
@@ -127,5 +147,10 @@
 
 
 def find_patience(route: Route) -> float:
-    """Return the age in seconds at which a late flow waits no more."""
+    """Return the age in seconds at which a late flow waits no more for a free slot."""
     return min(HOLD_SECONDS, LATE_SHARE * route.timeout / 1000)
+
+
+def find_last_moment(route: Route) -> float:
+    """Return the age in seconds at which a flow is refused that others wait before."""
+    return min(HOLD_SECONDS, LAST_SHARE * route.timeout / 1000)
--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -137,12 +137,14 @@
         if target is None:
             return self._go_without(segment, service, offers, now)
         age = now - self.state.find_began(segment, now)
-        verdict = judge_opening(target, age, route, now)
+        is_crowded = self.state.openings.has_others(segment.key)
+        verdict = judge_opening(target, age, route, is_crowded, now)
         if verdict == Verdict.HOLD:
             return self._hold(segment, now)
         if verdict == Verdict.REFUSE:
             return self._refuse(segment, service, offers, "overload")
-        limit = limit_requests(target, age, route, len(offers.corrected), now)
+        corrections = len(offers.corrected)
+        limit = limit_requests(target, age, route, corrections, is_crowded, now)
         return self._place(segment, service, target, offers, limit, now)
 
     def _choose(self, service: str, offers: Offers, now: float) -> Target | None:
