--- a/ibisshunt/coordination/__init__.py
+++ b/ibisshunt/coordination/__init__.py
@@ -18,6 +18,7 @@
 flows asked for        ``forwarding.balancer.Balancer``, ``forwarding.agent.Agent``
 nodes that meet        ``directory.registry.Registry``, ``directory.contacts``
 highest version wins   ``versions.VersionStore``
+drained domains        ``versions.FleetState``
 =====================  ==================================================
 
 The names in ``__all__`` keep their meaning within one major version; see
