Leave out late copies of an opening packet once its flow is open

At 19.41 s, after seven idle seconds, the agent of the flow's own target sends its packet back as NOT_HELD, all others do not hold it either, and the caller is reset while its target serves. A copy that reaches the flow's own target is answered with other numbers, which the agent took for the flow's.

A balancer forgets an opening packet that waits as soon as it sees the flow open, and leaves out copies of an opening that are behind the flow's numbers; an agent leaves out the copy of an opening whose flow its caller has acknowledged.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -202,8 +202,12 @@
         }
 
     def _take_delivery(self, peer: str, message: Deliver) -> None:
-        if segment := self._read(message.packet):
-            self._carry_out(self.agent.take(peer, message, segment, read_clock()))
+        segment = self._read(message.packet)
+        if segment is None:
+            return
+        action = self.agent.take(peer, message, segment, read_clock())
+        if action is not None:
+            self._carry_out(action)
 
     def _read(self, packet: bytes) -> Segment | None:
         """Return a caller's packet, or count it when it cannot be read."""
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -174,9 +174,11 @@
 
     def take(
         self, origin: str, message: Deliver, segment: Segment, now: float
-    ) -> Action:
-        """Take a packet from the balancer at ``origin``."""
+    ) -> Action | None:
+        """Take a packet from the balancer at ``origin``; a late copy is left out."""
         flow = self.held.find(segment.key)
+        if flow is not None and flow.is_late_copy(segment):
+            return None
         # A caller that gave up while its flow opened ends it, and its request comes
         # behind that: the target drops it, and no answer would end the count.
         has_ended = flow is not None and flow.caller_ended
@@ -204,7 +206,7 @@
         if refusal := self._intake.refuse(origin, segment.key, limit, now):
             return self._return(origin, refusal, segment)
         self._intake.take(segment.key, now)
-        self.held.find_or_add(segment.key, now).begin_again(now)
+        self.held.find_or_add(segment.key, now).begin_again(segment.sequence, now)
         return self._hand_over(origin, segment, now)
 
     def _hand_over(self, origin: str, segment: Segment, now: float) -> ToTarget:
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -149,6 +149,9 @@
         flow = self.flows.get(segment.key)
         if segment.opens and not segment.acknowledges:
             return self._opener.open(segment, flow, now)
+        # The flow is open: a copy of its opening packet that still waits here, or comes
+        # late, would be placed at a second target.
+        self.state.openings.drop(segment.key)
         if flow is not None:
             return self._go_along(segment, flow, now)
         return self._search(segment, frozenset(), now)
--- a/ibisshunt/coordination/forwarding/holding/held.py
+++ b/ibisshunt/coordination/forwarding/holding/held.py
@@ -18,7 +18,8 @@
     ``is_proved`` tells that the caller's last packet acknowledges numbers that the
     target has sent: it is the caller's present flow that the target holds. Until then
     ``asked`` is that packet, which came from the balancer at ``origin``.
-    ``opened_at`` is when the target took its opening. ``is_unsure`` tells that the
+    ``opened_at`` is when the target took its opening, ``opened_by`` the number of the
+    opening packet that was handed over last. ``is_unsure`` tells that the
     target may have started anew since, and knows nothing of the flow then.
     """
 
@@ -32,13 +33,24 @@
     target_ended: bool = False
     ended_at: float = 0.0
     opened_at: float = float("-inf")
+    opened_by: int | None = None
     is_unsure: bool = False
 
-    def begin_again(self, now: float) -> None:
+    def is_late_copy(self, segment: Segment) -> bool:
+        """Tell whether an opening packet is a copy of the one that opened this flow.
+
+        Handed over, a target may answer it with other numbers: taken for the flow's
+        own, these made the agent send back what belongs to the open flow.
+        """
+        is_opening = segment.opens and not segment.acknowledges
+        return is_opening and self.is_proved and segment.sequence == self.opened_by
+
+    def begin_again(self, sequence: int, now: float) -> None:
         """Take another opening packet of the caller, a copy or one on a used port.
 
         Until the target answers, its former numbers tell which packets belong to it.
         """
+        self.opened_by = sequence
         self.seen_at, self.ended_at = now, 0.0
         self.caller_ended = self.target_ended = False
 
--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -79,6 +79,8 @@
                 return self._hold(segment, now)
             self.state.counters.unroutable += 1
             return [Reset(segment, "no_route")]
+        if flow is not None and flow.is_late_copy(segment):
+            return []
         if flow is not None and flow.sequence == segment.sequence and flow.opening:
             target = self.state.targets.get(flow.address)
             if target is not None and self._is_trusted(target, flow, now):
--- a/ibisshunt/coordination/forwarding/placing/placed.py
+++ b/ibisshunt/coordination/forwarding/placing/placed.py
@@ -6,11 +6,14 @@
 import msgspec
 
 from ..messages import Reason
-from ..segment import Segment, is_later
+from ..segment import SEQUENCE_SPACE, Segment, is_later
 
 # How soon a caller repeats what was not acknowledged, at least; copies that the network
 # made come sooner.
 REPEAT_SECONDS = 0.15
+# How far the numbers of a caller's data may be ahead of its opening packet for that to
+# be the same flow's: more than a caller sends, and little of the number space.
+COPY_SPAN_BYTES = 1 << 20
 
 
 class Offers(msgspec.Struct, frozen=True):
@@ -51,6 +54,13 @@
     asked: int | None = None
     asked_at: float = float("-inf")
 
+    def is_late_copy(self, segment: Segment) -> bool:
+        """Tell whether an opening packet is a copy of the one of this open flow."""
+        if self.opening:
+            return False
+        ahead = (self.sequence - segment.sequence) % SEQUENCE_SPACE
+        return ahead < COPY_SPAN_BYTES
+
     def note_data(self, sequence: int, now: float) -> bool:
         """Take the number of a packet with data; return whether it was sent before."""
         if self.asked is not None and not is_later(sequence, self.asked):
--- /dev/null
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -0,0 +1,100 @@
+"""A late copy of an opening packet does nothing to the flow that has opened."""
+
+from ibisshunt.coordination.forwarding.messages import Deliver, Returned, ToTarget
+from ibisshunt.coordination.forwarding.routes import make_tag
+from tests.forwarding_world import (
+    SERVICE,
+    World,
+    data_segment,
+    make_key,
+    open_segment,
+)
+
+FIRST, SECOND = "10.0.1.0", "10.0.1.1"
+
+
+def hand(world, address, segment):
+    """Let a balancer send a packet straight to one agent."""
+    message = Deliver(make_tag(SERVICE), segment.raw)
+    return world.agents[address].take(FIRST, message, segment, world.now)
+
+
+def answer(world, address, first):
+    """Let a target answer an opening packet with numbers from ``first`` on."""
+    segment = open_segment(make_key(), first)
+    world.agents[address].take_outward(
+        type(segment)(
+            segment.key, b"synack", b"", first, 1, opens=True, acknowledges=True
+        ),
+        world.now,
+    )
+
+
+def test_an_agent_keeps_a_flow_whose_opening_packet_comes_once_more():
+    # Guards against the reset of an open flow: the target answered a late copy with
+    # other numbers, and its agent sent the packets of the open flow back.
+    world = World(targets=1)
+    address = "10.0.2.0"
+    assert isinstance(hand(world, address, open_segment(make_key())), ToTarget)
+    answer(world, address, 5000)
+    assert isinstance(hand(world, address, data_segment(make_key(), 5001)), ToTarget)
+    assert hand(world, address, open_segment(make_key())) is None
+    later = data_segment(make_key(), 5001, sequence=1100)
+    assert isinstance(hand(world, address, later), ToTarget)
+
+
+def test_a_copy_is_handed_over_while_the_caller_has_not_answered():
+    # Guards against a caller whose target's answer was lost.
+    world = World(targets=1)
+    hand(world, "10.0.2.0", open_segment(make_key()))
+    answer(world, "10.0.2.0", 5000)
+    assert isinstance(hand(world, "10.0.2.0", open_segment(make_key())), ToTarget)
+
+
+def test_a_new_flow_of_the_same_port_opens():
+    world = World(targets=1)
+    hand(world, "10.0.2.0", open_segment(make_key()))
+    answer(world, "10.0.2.0", 5000)
+    hand(world, "10.0.2.0", data_segment(make_key(), 5001))
+    other = open_segment(make_key(), 77_000_000)
+    assert not isinstance(hand(world, "10.0.2.0", other), Returned | None)
+    world = World(targets=1)
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    assert world.open(FIRST, sequence=77_000_000)[0] == address
+
+
+def test_an_opening_packet_that_waits_is_forgotten_once_its_flow_is_open():
+    # Guards against a second target for an open flow: one balancer kept the opening
+    # packet, a copy opened the flow through another one, and then a slot came free.
+    world = World(targets=2)
+    for address in world.agents:
+        world.load(address, 9)
+    world.tell_all()
+    world.send(FIRST, open_segment(make_key()))
+    assert len(world.balancers[FIRST].state.openings) == 1
+    for address, agent in world.agents.items():
+        agent.requests.clear()
+        world.balancers[SECOND].learn(address, agent.report(world.now), world.now)
+    world.send(SECOND, open_segment(make_key()))
+    ((holder, answered),) = world.to_callers
+    world.send(FIRST, data_segment(make_key(), answered.sequence + 1))
+    assert not world.balancers[FIRST].state.openings
+    world.wait(1.0)
+    assert world.balancers[FIRST].flows[make_key()].address == holder
+    other = next(found for found in world.targets if found != holder)
+    assert make_key() not in world.targets[other].flows
+
+
+def test_a_balancer_places_no_late_copy_of_an_open_flow():
+    world = World(targets=2)
+    holder, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    before = len(world.to_callers)
+    world.send(FIRST, open_segment(make_key()))
+    world.send(SECOND, data_segment(make_key(), number, sequence=1100))
+    world.send(SECOND, open_segment(make_key()))
+    assert len(world.to_callers) == before
+    other = next(found for found in world.targets if found != holder)
+    assert make_key() not in world.targets[other].flows
+    assert not world.resets
