Keep a flow at a restarted agent whose target repeats what its caller has

Trace of that: an agent is restarted as planned, with an answer of several packets under way. The new agent first sees its target repeat the oldest packet, and takes that for the newest number; the caller has acknowledged all of the answer. Its next packet looks like another flow's and goes back as NOT_HELD, the agent answers the search the same, and the caller is reset by its balancer while its target serves.

An agent that has not seen a flow open takes a caller's acknowledgement for the flow's that is as far ahead of what it saw as it may be behind; the span is a 4,096th of the number space each way.

The test fails without the change.

--- a/ibisshunt/coordination/forwarding/holding/held.py
+++ b/ibisshunt/coordination/forwarding/holding/held.py
@@ -4,9 +4,9 @@
 
 from ..segment import SEQUENCE_SPACE, Segment, is_later, lies_between
 
-# How far behind the target's newest number a caller's acknowledgement may be when the
-# flow's opening was not seen: far more than what is ever on its way, and so little of
-# the number space that another flow's numbers hardly ever lie in it.
+# How far from the newest number seen of the target a caller's acknowledgement may be
+# when the flow's opening was not: far more than what is ever on its way, and so little
+# of the number space that another flow's numbers hardly ever lie in it.
 UNSEEN_SPAN_BYTES = 1 << 20
 
 
@@ -14,7 +14,8 @@
     """Hold what an agent saw of a flow; times are in seconds.
 
     ``first`` and ``last`` are the ends of the numbers that the target has sent, None
-    while it has sent nothing; ``first`` is estimated when the opening was not seen.
+    while it has sent nothing; ``first`` is estimated when the opening was not seen, and
+    ``is_partial`` tells so: the target may have sent later numbers before, too.
     ``is_proved`` tells that the caller's last packet acknowledges numbers that the
     target has sent: it is the caller's present flow that the target holds. Until then
     ``asked`` is that packet, which came from the balancer at ``origin``.
@@ -26,6 +27,7 @@
     first: int | None
     seen_at: float
     last: int = 0
+    is_partial: bool = False
     is_proved: bool = False
     asked: Segment | None = None
     origin: str = ""
@@ -70,11 +72,13 @@
             return
         if segment.opens:
             self.first = self.last = segment.sequence
+            self.is_partial = False
             self.ended_at = 0.0
             self.opened_at = now
         elif self.first is None:
             self.first = (segment.sequence - UNSEEN_SPAN_BYTES) % SEQUENCE_SPACE
             self.last = segment.sequence
+            self.is_partial = True
         end = segment.sequence + len(segment.data) + segment.opens + segment.finishes
         if is_later(end, self.last):
             self.last = end % SEQUENCE_SPACE
@@ -93,10 +97,15 @@
             self.asked = None
 
     def fits(self, acknowledgement: int) -> bool:
-        """Tell whether a caller's acknowledgement is of what the target has sent."""
+        """Tell whether a caller's acknowledgement is of what the target has sent.
+
+        After a restart the first packet that an agent sees may be one that its target
+        repeats, older than what the caller has and acknowledges.
+        """
         if self.first is None:
             return False
-        return lies_between(self.first, acknowledgement, self.last)
+        ahead = UNSEEN_SPAN_BYTES if self.is_partial else 0
+        return lies_between(self.first, acknowledgement, self.last + ahead)
 
     def is_foreign(self, segment: Segment) -> bool:
         """Tell whether the caller took the opening of another target.
--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -1,7 +1,14 @@
-"""A late copy of an opening packet does nothing to the flow that has opened."""
-
-from ibisshunt.coordination.forwarding.messages import Deliver, Returned, ToTarget
+"""Late copies, of the caller or the target, do nothing to a flow that has opened."""
+
+from ibisshunt.coordination.forwarding.messages import (
+    Answer,
+    Ask,
+    Deliver,
+    Returned,
+    ToTarget,
+)
 from ibisshunt.coordination.forwarding.routes import make_tag
+from ibisshunt.coordination.forwarding.segment import Segment
 from tests.forwarding_world import (
     SERVICE,
     World,
@@ -21,13 +28,10 @@
 
 def answer(world, address, first):
     """Let a target answer an opening packet with numbers from ``first`` on."""
-    segment = open_segment(make_key(), first)
-    world.agents[address].take_outward(
-        type(segment)(
-            segment.key, b"synack", b"", first, 1, opens=True, acknowledges=True
-        ),
-        world.now,
+    answered = Segment(
+        make_key(), b"synack", b"", first, 1, opens=True, acknowledges=True
     )
+    world.agents[address].take_outward(answered, world.now)
 
 
 def test_an_agent_keeps_a_flow_whose_opening_packet_comes_once_more():
@@ -43,6 +47,21 @@
     assert isinstance(hand(world, address, later), ToTarget)
 
 
+def test_an_agent_that_restarted_keeps_a_flow_whose_target_repeats_old_packets():
+    # Guards against the reset of an open flow at a planned restart of its agent: the
+    # caller has acknowledged more than the packet that the target sends once more.
+    world = World(targets=1)
+    address, key = "10.0.2.0", make_key()
+    agent = world.agents[address] = world.make_agent()
+    repeated = Segment(key, b"data", b"x" * 1200, 9000, 1100, acknowledges=True)
+    agent.take_outward(repeated, world.now)
+    acknowledged = data_segment(key, 9000 + 4000, sequence=1100)
+    assert isinstance(hand(world, address, acknowledged), ToTarget)
+    assert agent.tell(Ask(key, 9000 + 4000), world.now).answer == Answer.HELD
+    foreign = data_segment(key, 9000 + 3_000_000_000, sequence=1100)
+    assert not isinstance(hand(world, address, foreign), ToTarget)
+
+
 def test_a_copy_is_handed_over_while_the_caller_has_not_answered():
     # Guards against a caller whose target's answer was lost.
     world = World(targets=1)
