Let one task alone save the drained domains

Two tasks wrote the file, each in a thread of its own: an older write could end last and stay until the next order, and a host that lost power would have told it.

--- a/ibisshunt/components/directory/control.py
+++ b/ibisshunt/components/directory/control.py
@@ -79,18 +79,18 @@
         while True:
             gevent.sleep(SAVE_SECONDS)
             self.save()
-            self.save_drained()
 
     def run_drained(self) -> None:
         """Tell and save drained domains whenever they change, until killed.
 
         At once: an operator takes an acknowledged order for one in force, and a host
-        that loses power tells what it saved until a leader is elected.
+        that loses power tells what it saved until a leader is elected. Nobody else
+        saves them: of two writes at a time the older one could last.
         """
         while True:
-            self._drained_changed.wait()
-            self._drained_changed.clear()
-            self.announce()
+            if self._drained_changed.wait(SAVE_SECONDS):
+                self._drained_changed.clear()
+                self.announce()
             self.save_drained()
 
     def run_confirming(self, is_current: Callable[[], bool]) -> None:
