--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -10,6 +10,7 @@
 from .admission import (
     HOLD_SECONDS,
     Verdict,
+    find_last_moment,
     find_patience,
     judge_opening,
     limit_requests,
@@ -53,8 +54,9 @@
             segment = opening.segment
             route = self.state.routes.find(segment.place)
             service = choose_service(route, segment.key) if route else ""
+            find_limit = find_last_moment if service in stuck else find_patience
             is_over = now >= opening.deadline or (
-                route is not None and now - opening.began >= find_patience(route)
+                route is not None and now - opening.began >= find_limit(route)
             )
             if service in stuck and not is_over:
                 continue
