Log why an open flow was reset: what it was looked for, who denied it and on what grounds

flow_reset and flow_not_found say trigger, believed target, that one's answer, how many were asked and how long it took. An agent that denies a flow which it saw open and not end says why (open_flow_denied: other numbers, bounced, reset, replaced, left); it remembers 200 such flows at most. One line a reset instead of two: reset_sent is gone, new flows have flow_refused for all reasons, open ones flow_reset. The counters of messages are ibisshunt_wire_messages_total and ibisshunt_wire_bytes_total now, so that they stand last on the page, which is sorted by name.

No decision changes. The tests fail without it.

--- a/ibisshunt/components/directory/message_counts.py
+++ b/ibisshunt/components/directory/message_counts.py
@@ -22,7 +22,7 @@
         """Yield the counts and bytes of each kind that was seen."""
         for kind, count in self._counts.items():
             labels = {"direction": self._direction, "kind": kind.__name__.lower()}
-            name = "ibisshunt_messages_total"
+            name = "ibisshunt_wire_messages_total"
             yield Sample(name, SampleKind.COUNTER, labels, count)
-            name = "ibisshunt_message_bytes_total"
+            name = "ibisshunt_wire_bytes_total"
             yield Sample(name, SampleKind.COUNTER, labels, self._bytes[kind])
--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -48,6 +48,21 @@
 STOP_SECONDS = 2.0
 
 
+# What changes an agent's belief in its target, or contradicts it.
+RARE_EVENTS = frozenset(
+    (
+        "target_state",
+        "target_replaced",
+        "target_left",
+        "target_silent",
+        "target_dead",
+        "own_domain_state",
+        "open_flow_denied",
+        "reset_kept_back",
+    )
+)
+
+
 class AgentTask:
     """Own the sockets and the decisions of one agent."""
 
@@ -63,7 +78,7 @@
         if settings.packets is None:
             raise ValueError("an agent needs the port at which callers are reached")
         now = read_clock()
-        self.log = DecisionLog()
+        self.log = DecisionLog(rare=RARE_EVENTS)
         self.service = LatencyHistogram("ibisshunt_answer_seconds")
         self.agent = Agent(
             settings.service,
--- a/ibisshunt/components/forwarding/balancer.py
+++ b/ibisshunt/components/forwarding/balancer.py
@@ -41,6 +41,12 @@
 STOP_SECONDS = 5.0
 
 
+# What changes a balancer's belief in its targets.
+RARE_EVENTS = frozenset(
+    ("target_learned", "target_doubted", "target_deaf", "target_forgotten")
+)
+
+
 class BalancerTask:
     """Own the packet socket and the decisions of one balancer."""
 
@@ -49,7 +55,7 @@
     ) -> None:
         if settings.packets is None:
             raise ValueError("a balancer needs an address for packets")
-        self.log = DecisionLog()
+        self.log = DecisionLog(rare=RARE_EVENTS)
         self.held = LatencyHistogram("ibisshunt_held_opening_seconds")
         self.balancer = Balancer(
             random.random, self.log.tell_event, read_clock(), self.held.observe
@@ -195,9 +201,6 @@
                 self._reset(action)
 
     def _reset(self, action: Reset) -> None:
-        self.log.tell_event(
-            "reset_sent", flow=action.segment.key.hex(), reason=action.reason
-        )
         packet = self._codec.make_reset(action.segment)
         caller = self._codec.find_caller(action.segment)
         try:
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -6,7 +6,7 @@
 from ...model.domains import DrainedDomains
 from .holding.cold_limit import compute_quota
 from .holding.held import HeldFlow
-from .holding.held_flows import MAX_FLOW_SECONDS, HeldFlows
+from .holding.held_flows import MAX_FLOW_SECONDS, Denial, HeldFlows
 from .holding.incarnations import Announcement, Word
 from .holding.intake import Intake, Refusal
 from .holding.own_target import OwnTarget
@@ -195,6 +195,7 @@
         if segment.opens and not segment.acknowledges:
             return self._take_opening(origin, segment, message.limit, now)
         if not self.held.may_hold(segment, self.state, now):
+            self._explain_denial(segment.key, segment.acknowledgement, origin)
             return self._return(origin, Refusal(Reason.NOT_HELD), segment)
         if segment.data:
             self._intake.end(segment.key)
@@ -251,7 +252,7 @@
         flow = self.held.find(segment.key)
         self._intake.end(segment.key)
         if flow is not None and (flow.first is None or not segment.opens):
-            self.held.drop(segment.key)
+            self.held.drop(segment.key, Denial.BOUNCED)
             self.requests.end(segment.key)
         if self._probed.is_open(segment.key):
             return self._probed.settle(segment.key, is_held=False)
@@ -267,7 +268,7 @@
         counts as a packet sent back, and the caller hears from the balancer that asks
         all others.
         """
-        self.held.drop(segment.key)
+        self.held.drop(segment.key, Denial.RESET)
         self._intake.end(segment.key)
         self._tell_event("reset_kept_back", flow=segment.key.hex())
         if self._probed.is_open(segment.key):
@@ -281,7 +282,10 @@
 
     def tell(self, message: Ask, now: float) -> Told:
         """Answer whether the target holds a flow."""
-        return Told(message.key, self.held.answer(message, self.target, now))
+        answer = self.held.answer(message, self.target, now)
+        if answer == Answer.NOT_HELD:
+            self._explain_denial(message.key, message.acknowledgement, "-")
+        return Told(message.key, answer)
 
     def take_probe(
         self, origin: str, message: Probe, segment: Segment, now: float
@@ -322,6 +326,23 @@
         route = self.routes.find(key[6:])
         return UNANSWERED_SECONDS if route is None else route.timeout / 1000
 
+    def _explain_denial(self, key: bytes, acknowledgement: int, peer: str) -> None:
+        """Log why a flow is denied that its target was seen to hold."""
+        why = self.held.explain_denial(key)
+        if why is None:
+            return
+        flow = self.held.find(key)
+        self._tell_event(
+            "open_flow_denied",
+            flow=key.hex(),
+            reason=why,
+            peer=peer,
+            acknowledged=acknowledgement,
+            first=flow.first if flow else "-",
+            last=flow.last if flow else "-",
+            opened_by=flow.opened_by if flow else "-",
+        )
+
     # What is forgotten.
 
     def _replace(self, now: float) -> None:
@@ -335,6 +356,6 @@
         self.requests.forget_target()
 
     def _drop_flows(self) -> None:
-        self.flows.clear()
+        self.held.drop_all(Denial.LEFT)
         self._intake.clear()
         self.requests.clear()
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -19,6 +19,7 @@
 from .restart.checkpoint import FlowEntry
 from .restart.ending import EndedFlows
 from .routes import RouteTable
+from .searching.search import UNKNOWN_FLOW, Cause, Trigger
 from .searching.searches import Searches, deliver
 from .segment import Segment
 from .silence.watch import SilenceWatch
@@ -174,10 +175,11 @@
             return self._opener.offer_again(address, message.reason, segment, flow, now)
         is_searched = self.searches.is_open(segment.key)
         if flow is not None and flow.address == address and not is_searched:
-            return self._leave(segment, flow, now)
+            return self._leave(segment, flow, Trigger.RETURNED, now)
         if is_searched:
             return self.searches.answer(address, segment.key, Answer.NOT_HELD, now)
-        return self._search(segment, frozenset((address,)), now)
+        cause = Cause(Trigger.RETURNED, address)
+        return self._search(segment, frozenset((address,)), now, cause)
 
     def _correct(self, address: str, message: Returned, now: float) -> None:
         """Take what an agent that refused a flow told of its target's load."""
@@ -205,11 +207,11 @@
         self.state.follow(segment, flow)
         target = self.targets.get(flow.address)
         if target is None:
-            return self._leave(segment, flow, now)
+            return self._leave(segment, flow, Trigger.LOST, now)
         if segment.data and flow.note_data(segment.sequence, now):
             self.silence.doubt(target, now)
         if self._has_lost(target, segment.key, now):
-            return self._leave(segment, flow, now)
+            return self._leave(segment, flow, Trigger.LOST, now)
         return [deliver(flow.address, flow.service, segment)]
 
     def _has_lost(self, target: Target, key: bytes, now: float) -> bool:
@@ -222,7 +224,9 @@
             return target.is_unreachable(now)
         return target.is_lost(now)
 
-    def _leave(self, segment: Segment, flow: Flow, now: float) -> list[Action]:
+    def _leave(
+        self, segment: Segment, flow: Flow, trigger: Trigger, now: float
+    ) -> list[Action]:
         """Go on with a flow that its target does not hold, or is lost with.
 
         Somebody else may hold it: a caller whose opening packet went to two targets
@@ -230,16 +234,21 @@
         have been lost; a reset without asking broke such a flow.
         """
         del self.flows[segment.key]
-        return self._search(segment, frozenset((flow.address,)), now)
+        cause = Cause(trigger, flow.address)
+        return self._search(segment, frozenset((flow.address,)), now, cause)
 
     def _search(
-        self, segment: Segment, excluded: frozenset[str], now: float
+        self,
+        segment: Segment,
+        excluded: frozenset[str],
+        now: float,
+        cause: Cause = UNKNOWN_FLOW,
     ) -> list[Action]:
         """Ask who holds a flow that this balancer does not know."""
         may_repeat = self.state.may_repeat(segment.key)
         holders = self.state.list_holders(segment.key, may_repeat)
         return self.searches.begin(
-            segment, holders, self.peers, excluded, now, may_repeat
+            segment, holders, self.peers, excluded, now, may_repeat, cause
         )
 
     # What balancers tell each other.
--- a/ibisshunt/coordination/forwarding/holding/held.py
+++ b/ibisshunt/coordination/forwarding/holding/held.py
@@ -38,6 +38,12 @@
     opened_by: int | None = None
     is_unsure: bool = False
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether its caller has taken it and neither end has ended it."""
+        has_ended = self.caller_ended or self.target_ended or bool(self.ended_at)
+        return self.is_proved and not has_ended
+
     def is_late_copy(self, segment: Segment) -> bool:
         """Tell whether an opening packet is a copy of the one that opened this flow.
 
--- a/ibisshunt/coordination/forwarding/holding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -1,5 +1,7 @@
 """Keep the flows that the target beside an agent holds, as far as packets show them."""
 
+from enum import StrEnum
+
 from ..messages import Answer, Ask, TargetState
 from ..segment import Segment
 from .held import HeldFlow
@@ -11,6 +13,23 @@
 # How long an ended flow is remembered, for late copies of its packets: longer than
 # the pause between two of them.
 ENDED_SECONDS = 4.0
+# Flows that were forgotten while they were open, for the log alone.
+MAX_DROPPED = 200
+
+
+class Denial(StrEnum):
+    """Tell why an agent denies a flow that it has seen open and not end.
+
+    OTHER_NUMBERS: the caller acknowledges what the target has not sent in it. BOUNCED:
+    the target sent a packet of it back. RESET: the target reset it. REPLACED: another
+    incarnation took its target's place. LEFT: its target said its last word, or died.
+    """
+
+    OTHER_NUMBERS = "other_numbers"
+    BOUNCED = "bounced"
+    RESET = "reset"
+    REPLACED = "replaced"
+    LEFT = "left"
 
 
 class HeldFlows:
@@ -24,6 +43,7 @@
         self.by_key: dict[bytes, HeldFlow] = {}
         self.knows_all_at = now + max_flow_seconds
         self._max_flow = max_flow_seconds
+        self._dropped: dict[bytes, Denial] = {}
 
     def knows_all(self, now: float) -> bool:
         """Tell whether the agent has seen each flow that its target holds."""
@@ -40,9 +60,23 @@
             flow = self.by_key[key] = HeldFlow(None, now)
         return flow
 
-    def drop(self, key: bytes) -> None:
+    def drop(self, key: bytes, why: Denial) -> None:
         """Forget a flow."""
-        self.by_key.pop(key, None)
+        flow = self.by_key.pop(key, None)
+        if flow is not None:
+            self._note_dropped(key, flow, why)
+
+    def drop_all(self, why: Denial) -> None:
+        """Forget all flows."""
+        for key in tuple(self.by_key):
+            self.drop(key, why)
+
+    def explain_denial(self, key: bytes) -> Denial | None:
+        """Return why an open flow is denied; None for one that was never open here."""
+        flow = self.by_key.get(key)
+        if flow is None:
+            return self._dropped.get(key)
+        return None if flow.first is None else Denial.OTHER_NUMBERS
 
     def may_hold(self, segment: Segment, state: TargetState, now: float) -> bool:
         """Tell whether a packet of an open flow may belong to one of the target's.
@@ -84,11 +118,18 @@
         }
         for flow in unsure.values():
             flow.is_unsure = True
-        self.by_key.clear()
-        self.by_key.update(unsure)
+        for key in [key for key in self.by_key if key not in unsure]:
+            self.drop(key, Denial.REPLACED)
         self.knows_all_at = now
         return len(unsure)
 
+    def _note_dropped(self, key: bytes, flow: HeldFlow, why: Denial) -> None:
+        if not flow.is_open:
+            return
+        self._dropped[key] = why
+        if len(self._dropped) > MAX_DROPPED:
+            del self._dropped[next(iter(self._dropped))]
+
     def forget_old(self, now: float) -> list[bytes]:
         """Forget flows that are over; return their keys."""
         over = [
--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -67,8 +67,9 @@
                 self._observe(now - opening.began)
             elif now >= opening.deadline:
                 self.state.openings.drop(segment.key)
-                self.state.counters.refused += 1
-                actions.append(Reset(segment, "no_target_in_time"))
+                actions += self._refuse(
+                    segment, service, NO_OFFERS, "no_target_in_time"
+                )
             else:
                 stuck.add(service)
         return actions
@@ -79,8 +80,7 @@
         if route is None:
             if not self.state.routes.version:
                 return self._hold(segment, now)
-            self.state.counters.unroutable += 1
-            return [Reset(segment, "no_route")]
+            return self._refuse_unroutable(segment)
         if flow is not None and flow.is_late_copy(segment):
             return []
         if flow is not None and flow.sequence == segment.sequence and flow.opening:
@@ -107,7 +107,7 @@
             return []
         route = self.state.routes.find(segment.place)
         if route is None:
-            return [Reset(segment, "no_route")]
+            return self._refuse_unroutable(segment)
         service = choose_service(route, segment.key)
         offers = flow.offers if flow else NO_OFFERS
         if reason != Reason.COLD:
@@ -194,6 +194,12 @@
         )
         return [Reset(segment, reason)]
 
+    def _refuse_unroutable(self, segment: Segment) -> list[Action]:
+        """Tell the caller that no service is at this address and port."""
+        self.state.counters.unroutable += 1
+        self.state.tell_event("flow_refused", flow=segment.key.hex(), reason="no_route")
+        return [Reset(segment, "no_route")]
+
     def _place(
         self,
         segment: Segment,
--- a/ibisshunt/coordination/forwarding/restart/ending.py
+++ b/ibisshunt/coordination/forwarding/restart/ending.py
@@ -3,7 +3,7 @@
 from ..messages import Reset, Send, Status, TargetState
 from ..placing.placed import DoubtfulFlows, recall
 from ..placing.placement import Target
-from ..searching.search import WITHOUT_FLOWS
+from ..searching.search import WITHOUT_FLOWS, Cause, Trigger
 from ..searching.searches import Searches
 from ..state import BalancerState
 from .checkpoint import ENDED, FlowEntry, FormerFlows
@@ -124,5 +124,8 @@
             del self.state.flows[key]
             holders = self.state.list_holders(key, True)
             found = recall(key, flow.acknowledgement)
-            actions += self.searches.begin(found, holders, (), frozenset(), now, True)
+            cause = Cause(Trigger.ENDED, flow.address)
+            actions += self.searches.begin(
+                found, holders, (), frozenset(), now, True, cause
+            )
         return actions
--- a/ibisshunt/coordination/forwarding/searching/search.py
+++ b/ibisshunt/coordination/forwarding/searching/search.py
@@ -1,6 +1,7 @@
 """Find the target that holds a flow by asking the agents."""
 
 from collections.abc import Iterable, Mapping
+from enum import StrEnum
 
 import msgspec
 
@@ -27,6 +28,30 @@
 CHECK_SECONDS = 0.1
 
 
+class Trigger(StrEnum):
+    """Tell why a flow is looked for.
+
+    PACKET: a packet came of a flow that is not known here. RETURNED: the target where
+    it was believed to be sent its packet back. LOST: that target is lost. ENDED: that
+    target has ended, or has fallen silent, and no packet has come.
+    """
+
+    PACKET = "packet"
+    RETURNED = "returned"
+    LOST = "lost"
+    ENDED = "ended"
+
+
+class Cause(msgspec.Struct, frozen=True):
+    """Hold why a flow is looked for, and at which address it was believed to be."""
+
+    trigger: Trigger = Trigger.PACKET
+    believed: str = ""
+
+
+UNKNOWN_FLOW = Cause()
+
+
 class Search(msgspec.Struct):
     """Hold the packets of a flow that is looked for, and what agents answered.
 
@@ -56,6 +81,7 @@
     relayed: dict[int, tuple[str, ...]] = msgspec.field(default_factory=dict)
     due_at: float = float("-inf")
     unsettled: dict[str, None] = msgspec.field(default_factory=dict)
+    cause: Cause = UNKNOWN_FLOW
 
     def __post_init__(self) -> None:
         """Wait for all agents that are asked."""
@@ -208,6 +234,18 @@
             return target.is_unreachable(now)
         return target.is_lost(now)
 
+    def explain(self, now: float) -> dict[str, object]:
+        """Return the fields of a log line on what was found out, and how."""
+        believed = self.cause.believed
+        answer = self.answers.get(believed)
+        return {
+            "trigger": self.cause.trigger,
+            "believed": believed or "-",
+            "answer": "-" if answer is None else Answer(answer).name,
+            "asked": len(self.tags),
+            "took_ms": int(1000 * (now - self.started_at)),
+        }
+
     def has_maybe(self) -> bool:
         """Tell whether a target may hold the flow whose agent does not know."""
         return bool(self._list_maybe())
@@ -223,6 +261,7 @@
     excluded: frozenset[str],
     now: float,
     may_repeat: bool = False,
+    cause: Cause = UNKNOWN_FLOW,
 ) -> Search:
     """Return a search among the targets but the excluded."""
     tags = {
@@ -232,4 +271,4 @@
     }
     answers = dict.fromkeys(excluded, int(Answer.NOT_HELD))
     held = [segment] if segment.raw else []
-    return Search(segment, tags, now, may_repeat, held, answers)
+    return Search(segment, tags, now, may_repeat, held, answers, cause=cause)
--- a/ibisshunt/coordination/forwarding/searching/searches.py
+++ b/ibisshunt/coordination/forwarding/searching/searches.py
@@ -16,7 +16,7 @@
 from ..routes import make_tag
 from ..segment import Segment
 from ..state import BalancerState
-from .search import Search, start_search
+from .search import UNKNOWN_FLOW, Cause, Search, start_search
 
 # How long the balancers of the same failure domain have to answer before agents are
 # asked.
@@ -82,6 +82,7 @@
         excluded: frozenset[str],
         now: float,
         may_repeat: bool = False,
+        cause: Cause = UNKNOWN_FLOW,
     ) -> list[Action]:
         """Look for a flow: ask balancers nearby, then the agents of ``holders``."""
         if segment.resets:
@@ -93,7 +94,7 @@
         if len(self._open) >= MAX_SEARCHES:
             return []
         self._counters.searched += 1
-        search = start_search(segment, holders, excluded, now, may_repeat)
+        search = start_search(segment, holders, excluded, now, may_repeat, cause)
         self._open[segment.key] = search
         if peers and not excluded:
             search.agents_at = now + PEER_SECONDS
@@ -150,11 +151,17 @@
                     silent=len(silent),
                     first=",".join(silent[:3]) or "-",
                     learning=is_learning,
+                    **search.explain(now),
                 )
             return []
         del self._open[key]
         self._counters.reset += 1
-        self._state.tell_event("flow_reset", flow=key.hex(), reason="held_by_nobody")
+        self._state.tell_event(
+            "flow_reset",
+            flow=key.hex(),
+            reason="held_by_nobody",
+            **search.explain(now),
+        )
         return [Reset(search.last, "held_by_nobody")]
 
     def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
--- a/measurements/unserved.py
+++ b/measurements/unserved.py
@@ -25,7 +25,7 @@
 REASON = re.compile(r"reason=(\S+)")
 # Events that tell why callers waited or were turned away; their reasons count apart.
 TOLD = {
-    "reset_sent": True,
+    "flow_reset": True,
     "flow_refused": True,
     "target_deaf": False,
     "target_silent": False,
--- a/tests/components/directory/test_message_counts.py
+++ b/tests/components/directory/test_message_counts.py
@@ -19,8 +19,8 @@
     inner._take(b"\x92\xa1k\xc4\x01x", ("127.0.0.1", 1))
     inner.close()
     found = read_samples(inner)
-    assert found["ibisshunt_messages_total", "sent", "ping"] == 2
-    assert found["ibisshunt_message_bytes_total", "sent", "ping"] == 2 * 4
-    assert found["ibisshunt_messages_total", "received", "seek"] == 1
-    assert found["ibisshunt_message_bytes_total", "received", "seek"] == 6
+    assert found["ibisshunt_wire_messages_total", "sent", "ping"] == 2
+    assert found["ibisshunt_wire_bytes_total", "sent", "ping"] == 2 * 4
+    assert found["ibisshunt_wire_messages_total", "received", "seek"] == 1
+    assert found["ibisshunt_wire_bytes_total", "received", "seek"] == 6
     assert len(found) == 4
--- a/tests/helpers/test_decisions.py
+++ b/tests/helpers/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ibisshunt.helpers import decisions
-from ibisshunt.helpers.decisions import SUMMARY_SECONDS, DecisionLog
+from ibisshunt.helpers.decisions import RARE_AT_ONCE, SUMMARY_SECONDS, DecisionLog
 
 
 @pytest.fixture
@@ -77,3 +77,16 @@
     clock.now += 3600
     tell(log, "flow_placed", 300)
     assert len([line for line in lines if isinstance(line, str)]) == 10
+
+
+def test_rare_events_keep_their_lines_while_others_are_left_out(lines):
+    # Guards against a reset that nothing explains: a target's restart was left out of
+    # the log among hundreds of placements.
+    clock = Clock()
+    log = DecisionLog(read_now=clock, rare=frozenset(("target_learned",)))
+    tell(log, "flow_placed", 300)
+    tell(log, "target_learned", 1)
+    assert any("target_learned" in line for line in lines)
+    tell(log, "target_learned", 300)
+    learned = [line for line in lines if "target_learned" in line]
+    assert len(learned) == RARE_AT_ONCE
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -16,7 +16,7 @@
 
 LOG = """day  own/srv  score
    9.9000 front-a-1 I event=flow_placed flow=aa peer=10.0.2.1
-  10.1000 front-a-1 I event=reset_sent flow=aa reason=held_by_nobody
+  10.1000 front-a-1 I event=flow_reset flow=aa reason=held_by_nobody
   12.0000 front-a-1 I event=started program=balancer
   12.5000 front-a-1 I event=flow_placed flow=ab peer=10.0.2.1
   12.5500 side-a-1 I event=request_answered request=q flow=ab status=200
@@ -47,7 +47,7 @@
 
 def test_decisions_are_counted_by_span_and_reason(lines):
     assert count_decisions(lines) == {
-        10.0: {"reset_sent:held_by_nobody": 1},
+        10.0: {"flow_reset:held_by_nobody": 1},
         12.0: {"target_deaf": 1},
     }
 
@@ -86,5 +86,5 @@
         (tmp_path / name).write_text(text)
     main([str(tmp_path / name) for name in ("report", "log", "site")])
     printed = capsys.readouterr().out
-    assert "reset_sent:held_by_nobody=1" in printed
+    assert "flow_reset:held_by_nobody=1" in printed
     assert "some 112 of 100" in printed
