Show that the answer to a copy that crosses the handshake breaks an open flow

A target answers each copy of an opening packet with a number of its own, and the flow is the one whose number the caller acknowledges.

It can fail for this cause only: one agent, one target, no balancer, nothing restarted, silent or lost.

--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -1,5 +1,7 @@
 """Late copies, of the caller or the target, do nothing to a flow that has opened."""
 
+import pytest
+
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
@@ -61,6 +63,27 @@
     assert not isinstance(hand(world, address, foreign), ToTarget)
 
 
+@pytest.mark.parametrize("is_seen_late", [False, True])
+def test_a_flow_outlives_the_answer_to_a_copy_that_crossed_its_handshake(is_seen_late):
+    # Guards against the reset of an open flow: a copy of its opening reached the target
+    # just before the caller's packet, and was answered with other numbers.
+    world = World(targets=1)
+    address, key = "10.0.2.0", make_key()
+    hand(world, address, open_segment(key))
+    answer(world, address, 5000)
+    assert isinstance(hand(world, address, open_segment(key)), ToTarget)
+    if not is_seen_late:
+        answer(world, address, 77_000_000)
+    assert isinstance(hand(world, address, data_segment(key, 5001)), ToTarget)
+    if is_seen_late:
+        answer(world, address, 77_000_000)
+    later = data_segment(key, 5001, sequence=1100)
+    assert isinstance(hand(world, address, later), ToTarget)
+    assert world.agents[address].tell(Ask(key, 5001), world.now).answer == Answer.HELD
+    other = Ask(key, 77_000_001)
+    assert world.agents[address].tell(other, world.now).answer == Answer.NOT_HELD
+
+
 def test_a_copy_is_handed_over_while_the_caller_has_not_answered():
     # Guards against a caller whose target's answer was lost.
     world = World(targets=1)
