Let a flow's numbers be those of the answer that its caller took

Callers saw: an open flow was reset, mostly when its caller used it again after a pause, while its target served. Class: two answers to one question, and the later one believed.

Cause: a target answers each copy of an opening packet with a number of its own. The agent kept the number of the last answer it saw. A copy that reaches the target before the caller's packet, and is answered before or after it, left a number there that the caller never took: the packets of the open flow looked like another one's, went back as NOT_HELD, searches were answered the same, and the balancer reset the flow (held_by_nobody).

Fix: the agent remembers the numbers of all answers and takes the one that the caller acknowledges; an answer to a copy of what was taken changes nothing. A new opening on the same port, with another number, is answered as before. Ruled out: sending the first answer once more in place of handing a copy over (an endpoint may have forgotten the opening).

A test set an agent's numbers before the caller had answered the opening, an order that can't be; it does so after it now.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -251,7 +251,7 @@
         """Take back a caller's packet that the target does not hold, or cannot take."""
         flow = self.held.find(segment.key)
         self._intake.end(segment.key)
-        if flow is not None and (flow.first is None or not segment.opens):
+        if flow is not None and (not flow.is_answered or not segment.opens):
             self.held.drop(segment.key, Denial.BOUNCED)
             self.requests.end(segment.key)
         if self._probed.is_open(segment.key):
--- a/ibisshunt/coordination/forwarding/holding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -93,7 +93,7 @@
         if target.state == TargetState.GONE:
             return Answer.NOT_HELD
         flow = self.by_key.get(question.key)
-        if flow is not None and flow.first is not None:
+        if flow is not None and flow.is_answered:
             if not flow.fits(question.acknowledgement):
                 return Answer.NOT_HELD
             return Answer.MAYBE if flow.is_unsure else Answer.HELD
--- a/tests/coordination/forwarding/restart/test_checkpoint.py
+++ b/tests/coordination/forwarding/restart/test_checkpoint.py
@@ -222,9 +222,9 @@
     # A caller believes a reset within 76,800 bytes of its acknowledgement.
     world = World(targets=1)
     address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
     # The target has sent as much.
     world.agents[address].flows[make_key()].last += 2 * NOTED_SPAN
-    world.send(FIRST, data_segment(make_key(), number))
     world.wait(NOTED_AFTER_SECONDS + 0.1)
     take_entries(world)
     world.send(FIRST, data_segment(make_key(), number + NOTED_SPAN - 1, 1017))
--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -84,6 +84,17 @@
     assert world.agents[address].tell(other, world.now).answer == Answer.NOT_HELD
 
 
+def test_a_caller_may_take_the_answer_to_any_copy():
+    # Guards against a flow whose caller never got the first answer.
+    for taken in (5001, 77_000_001):
+        world = World(targets=1)
+        address, key = "10.0.2.0", make_key()
+        for first in (5000, 77_000_000):
+            hand(world, address, open_segment(key))
+            answer(world, address, first)
+        assert isinstance(hand(world, address, data_segment(key, taken)), ToTarget)
+
+
 def test_a_copy_is_handed_over_while_the_caller_has_not_answered():
     # Guards against a caller whose target's answer was lost.
     world = World(targets=1)
