Offer a flow elsewhere only once the newest copy of its opening has come back

Callers saw little: packets of an open flow went to a second target and were looked for (some 30 ms), and that target held a half-open flow for nothing. Class: an old answer taken for the newest one.

A returned opening counts as a refusal only while the flow has not opened, and only when no newer copy is with the target. The newest copy's return offers the flow as before, also when an older one was lost.

--- a/ibisshunt/coordination/forwarding/placing/opening.py
+++ b/ibisshunt/coordination/forwarding/placing/opening.py
@@ -87,6 +87,7 @@
             target = self.state.targets.get(flow.address)
             if target is not None and self._is_trusted(target, flow, now):
                 flow.seen_at = now
+                flow.copied_after = segment.waited
                 return [deliver(flow.address, flow.service, segment)]
         if self.state.known.is_gathering(now):
             return self._hold(segment, now)
@@ -105,6 +106,8 @@
         if flow is not None and flow.address != address:
             # A copy of the opening packet went elsewhere meanwhile.
             return []
+        if flow is not None and not flow.is_refused_by(segment):
+            return []
         route = self.state.routes.find(segment.place)
         if route is None:
             return self._refuse_unroutable(segment)
--- a/ibisshunt/coordination/forwarding/placing/placed.py
+++ b/ibisshunt/coordination/forwarding/placing/placed.py
@@ -36,10 +36,12 @@
 class Flow(msgspec.Struct):
     """Remember where a flow was placed; times are in seconds.
 
-    ``began`` is when the caller sent its opening packet first, ``acknowledgement`` what
-    it acknowledged last here, None when this balancer has not seen it, and ``noted``
-    what it had acknowledged when the flow was noted for the balancer's next run.
-    ``asked`` is the number of the newest data that the caller sent, at ``asked_at``.
+    ``began`` is when the caller sent its opening packet first, ``copied_after`` for how
+    many seconds it had waited when it sent the newest copy that went to the target.
+    ``acknowledgement`` is what it acknowledged last here, None when this balancer has
+    not seen it, and ``noted`` what it had acknowledged when the flow was noted for the
+    balancer's next run. ``asked`` is the number of the newest data that the caller
+    sent, at ``asked_at``.
     """
 
     address: str
@@ -53,6 +55,15 @@
     noted: int | None = None
     asked: int | None = None
     asked_at: float = float("-inf")
+    copied_after: float = 0.0
+
+    def is_refused_by(self, segment: Segment) -> bool:
+        """Tell whether the return of an opening packet means that the flow is refused.
+
+        Not once the flow is open, and not while a newer copy is with the target: that
+        one may have been taken, and the flow would be placed at two targets.
+        """
+        return self.opening and segment.waited >= self.copied_after
 
     def is_late_copy(self, segment: Segment) -> bool:
         """Tell whether an opening packet is a copy of the one of this open flow."""
--- a/ibisshunt/coordination/forwarding/state.py
+++ b/ibisshunt/coordination/forwarding/state.py
@@ -81,6 +81,7 @@
         self._remember(segment, target, self.find_began(segment, now), now)
         flow = self.flows[segment.key]
         flow.opening, flow.offers = True, offers
+        flow.copied_after = segment.waited
 
     def note_found(self, segment: Segment, target: Target, now: float) -> None:
         """Remember where an open flow was found."""
--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -1,11 +1,14 @@
 """Late copies, of the caller or the target, do nothing to a flow that has opened."""
 
 import pytest
+from msgspec.structs import replace
 
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
     Deliver,
+    Reason,
+    Returned,
     ToTarget,
 )
 from ibisshunt.coordination.forwarding.routes import make_tag
@@ -150,3 +153,37 @@
     other = next(found for found in world.targets if found != holder)
     assert make_key() not in world.targets[other].flows
     assert not world.resets
+
+
+def test_a_flow_stays_where_its_newer_copy_went_when_an_older_one_comes_back():
+    # Guards against a second target for an opening flow: the first copy found its
+    # target full, the second one was taken, and the first came back after that.
+    world = World(targets=2)
+    balancer = world.balancers[FIRST]
+    first, second = (
+        open_segment(make_key()),
+        replace(open_segment(make_key()), waited=0.2),
+    )
+    (sent,) = balancer.take(first, world.now)
+    (again,) = balancer.take(second, world.now)
+    assert again.peer == sent.peer
+    back = Returned(Reason.FULL, b"", 3)
+    assert balancer.take_returned(sent.peer, back, first, world.now) == []
+    assert balancer.flows[make_key()].address == sent.peer
+    # The newest copy's return says that its target does not take the flow.
+    (other,) = balancer.take_returned(sent.peer, back, second, world.now)
+    assert other.peer != sent.peer
+
+
+def test_an_opening_packet_that_comes_back_after_its_flow_is_open_is_left_out():
+    # Guards against a second target for an open flow.
+    world = World(targets=2)
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    balancer = world.balancers[FIRST]
+    back = Returned(Reason.FULL, b"", 3)
+    assert (
+        balancer.take_returned(address, back, open_segment(make_key()), world.now) == []
+    )
+    assert balancer.flows[make_key()].address == address
+    assert not balancer.state.openings
