Ask for no flow that its caller has closed when its target has ended

A target that ends with its process closes its flows, and callers close their ends. The test fails without it.

--- a/ibisshunt/coordination/forwarding/placing/placed.py
+++ b/ibisshunt/coordination/forwarding/placing/placed.py
@@ -40,8 +40,8 @@
     many seconds it had waited when it sent the newest copy that went to the target.
     ``acknowledgement`` is what it acknowledged last here, None when this balancer has
     not seen it, and ``noted`` what it had acknowledged when the flow was noted for the
-    balancer's next run. ``asked`` is the number of the newest data that the caller
-    sent, at ``asked_at``.
+    balancer's next run. ``caller_ended`` tells that it has closed or reset its end.
+    ``asked`` is the number of the newest data that the caller sent, at ``asked_at``.
     """
 
     address: str
@@ -56,6 +56,7 @@
     asked: int | None = None
     asked_at: float = float("-inf")
     copied_after: float = 0.0
+    caller_ended: bool = False
 
     def is_refused_by(self, segment: Segment) -> bool:
         """Tell whether the return of an opening packet means that the flow is refused.
--- a/ibisshunt/coordination/forwarding/state.py
+++ b/ibisshunt/coordination/forwarding/state.py
@@ -39,11 +39,11 @@
         return route is None or route.repeatable
 
     def list_flows(self, address: str) -> list[bytes]:
-        """Return the keys of the open flows of a target."""
+        """Return the keys of a target's flows that neither end is known to have ended."""
         return [
             key
             for key, flow in self.flows.items()
-            if flow.address == address and not flow.opening
+            if flow.address == address and not flow.opening and not flow.caller_ended
         ]
 
     def list_holders(self, key: bytes, may_repeat: bool) -> list[Target]:
@@ -104,6 +104,7 @@
         """Note a flow again that was noted before, or its end."""
         flow.acknowledgement = segment.acknowledgement
         if segment.finishes or segment.resets:
+            flow.caller_ended = True
             self.checkpoint.end(segment.key, flow)
         elif flow.noted is not None:
             self._note(segment.key, flow)
--- a/tests/coordination/forwarding/restart/test_doubtful.py
+++ b/tests/coordination/forwarding/restart/test_doubtful.py
@@ -60,6 +60,21 @@
     assert {reset.segment.key for reset in world.resets} == over
 
 
+def test_flows_that_their_callers_have_ended_are_not_asked_for():
+    # Guards against a thin link that is full of questions about closed flows at the
+    # moment when most targets of a service start again, and open ones wait behind them.
+    world = World(targets=1)
+    tell_born(world)
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    end = replace(data_segment(make_key(), number, 1018, b""), finishes=True)
+    world.send(FIRST, end)
+    start_again(world, address)
+    world.wait(0.5)
+    assert not world.resets
+    assert not world.told
+
+
 def test_a_flow_that_another_target_holds_outlives_the_end_of_the_first():
     # Two targets answered copies of one opening packet, and the balancer remembers the
     # one that the caller did not take. That one starts anew: the flow is asked for
