Keep a flow where it is believed to be when its agent can't say whose it is

A target that starts anew takes flows before its first heartbeat. Its agent can't tell them from those of its predecessor, so it says MAYBE when the balancer asks after them, and with no packet to probe with the search ended in nothing and the balancer forgot the flow: the caller's next packet, of an open flow, was held for a new search. The balancer goes on as before now: if the target does not hold the flow, its agent sends the packet back, and the search begins without that target.

--- a/ibisshunt/coordination/forwarding/searching/search.py
+++ b/ibisshunt/coordination/forwarding/searching/search.py
@@ -246,6 +246,10 @@
             "took_ms": int(1000 * (now - self.started_at)),
         }
 
+    def may_be_at(self, address: str) -> bool:
+        """Tell whether an agent could not say whether its target holds the flow."""
+        return self.answers.get(address) == Answer.MAYBE
+
     def has_maybe(self) -> bool:
         """Tell whether a target may hold the flow whose agent does not know."""
         return bool(self._list_maybe())
--- a/ibisshunt/coordination/forwarding/searching/searches.py
+++ b/ibisshunt/coordination/forwarding/searching/searches.py
@@ -143,16 +143,7 @@
         if waits or search.has_maybe():
             cannot_probe = not waits and not search.has_packet
             if cannot_probe or now >= search.started_at + SEARCH_SECONDS:
-                del self._open[key]
-                silent = search.silent()
-                self._state.tell_event(
-                    "flow_not_found",
-                    flow=key.hex(),
-                    silent=len(silent),
-                    first=",".join(silent[:3]) or "-",
-                    learning=is_learning,
-                    **search.explain(now),
-                )
+                self._give_up(key, search, now)
             return []
         del self._open[key]
         self._counters.reset += 1
@@ -164,6 +155,25 @@
         )
         return [Reset(search.last, "held_by_nobody")]
 
+    def _give_up(self, key: bytes, search: Search, now: float) -> None:
+        """End a search that has proved nothing; the flow stays where it was believed.
+
+        Forgotten, it would be looked for again with its caller's next packet.
+        """
+        del self._open[key]
+        silent = search.silent()
+        self._state.tell_event(
+            "flow_not_found",
+            flow=key.hex(),
+            silent=len(silent),
+            first=",".join(silent[:3]) or "-",
+            learning=self._known.is_learning(now),
+            **search.explain(now),
+        )
+        target = self._known.targets.get(search.cause.believed)
+        if target is not None and search.may_be_at(target.address):
+            self._state.note_found(search.last, target, now)
+
     def _ask(self, search: Search, asked: tuple[str, ...], now: float) -> list[Action]:
         """Ask agents, or let them probe at once.
 
--- a/ibisshunt/coordination/forwarding/state.py
+++ b/ibisshunt/coordination/forwarding/state.py
@@ -39,7 +39,7 @@
         return route is None or route.repeatable
 
     def list_flows(self, address: str) -> list[bytes]:
-        """Return the keys of a target's flows that neither end is known to have ended."""
+        """Return the keys of a target's open flows that no caller has ended."""
         return [
             key
             for key, flow in self.flows.items()
@@ -84,7 +84,7 @@
         flow.copied_after = segment.waited
 
     def note_found(self, segment: Segment, target: Target, now: float) -> None:
-        """Remember where an open flow was found."""
+        """Remember where an open flow was found, or is still believed to be."""
         self._remember(segment, target, now, now)
 
     def note_flow(self, key: bytes, target: Target, now: float) -> None:
--- a/tests/coordination/forwarding/restart/test_doubtful.py
+++ b/tests/coordination/forwarding/restart/test_doubtful.py
@@ -169,3 +169,25 @@
     assert len(asked) * 100 * 8 * 50 <= 0.1 * 2.2e6
     world.wait(1.0)
     assert len(world.resets) == 40
+
+
+def test_a_flow_that_may_be_the_new_targets_stays_where_it_is():
+    # Guards against a search for an open flow: its target took it before its first
+    # heartbeat, so that nobody can say whose it is, and its caller pauses.
+    world = World(targets=2)
+    tell_born(world)
+    world.wait(0.5)
+    world.now += 0.01
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    agent = world.agents[address]
+    born = agent.present.born + 5000
+    agent.announce(replace(agent.present, number=1, born=born), world.now)
+    world.tell_all()
+    world.wait(0.5)
+    assert not world.resets
+    assert world.balancers[FIRST].flows[make_key()].address == address
+    world.told.clear()
+    world.send(FIRST, data_segment(make_key(), number, 1017))
+    assert len(world.targets[address].taken) == 2
+    assert not world.told
