Keep flows that a target took unheard over a restart of their balancer

Callers would see: an open flow is reset (target_ended) after a planned restart of its balancer.

Cause: balancers note open flows on control hosts with the incarnation of their target, for their own next run. A target that starts anew takes flows before its first heartbeat; when that is late or lost, such a flow is noted as the former incarnation's. The balancer's next run learns that another one is there and resets the flow at once.

A flow that is found again, or kept where it was believed, is noted again under the present incarnation. An agent tells a balancer that has just come which open flows its target took before its first heartbeat (40 at most, in one datagram after its status); these are not reset. Both tests fail without it; without the agent's word the second one resets the flow with target_ended. Ruled out: asking agents about each such flow before a reset, which fills thin links after a power loss, when nearly all have ended; noting a flow only after a later heartbeat, which leaves out the flows of the last second before a power loss. Left: the datagram may be lost; then the flow is reset as before.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -98,6 +98,7 @@
         self._codec = codec
         self._inner = inner
         self._list_balancers = list_balancers
+        self._address = settings.address
         self._caller_port = settings.packets.port
         self._target = settings.target.as_pair()
         self._socket = DatagramSocket(settings.outward)
@@ -153,8 +154,9 @@
         self._inner.send_all(self._list_balancers(), status)
 
     def meet(self, peer: str) -> None:
-        """Tell one balancer of the target."""
-        self._inner.send(peer, self.agent.report(read_clock()))
+        """Tell a balancer that has just come of the target."""
+        for message in self.agent.introduce(self._address, read_clock()):
+            self._inner.send(peer, message)
 
     def announce(self, found: Announcement) -> Word:
         """Take a heartbeat of the target; balancers hear of a change at once."""
@@ -270,7 +272,7 @@
         for action in self.agent.take_outward(segment, now):
             self._carry_out(action)
         if waiting := self.agent.take_waiting(now):
-            self.meet(waiting)
+            self._inner.send(waiting, self.agent.report(now))
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -13,9 +13,11 @@
 from .holding.probed import ProbedFlows
 from .holding.requests import UNANSWERED_SECONDS, RequestLog
 from .messages import (
+    FLOWS_PER_MESSAGE,
     Answer,
     Ask,
     Deliver,
+    Known,
     Probe,
     Reason,
     Returned,
@@ -137,6 +139,16 @@
             self.target.incarnations.tag,
         )
 
+    def introduce(self, address: str, now: float) -> list[Status | Known]:
+        """Return what a balancer has to hear that meets this agent, at ``address``.
+
+        Flows that the target took before its first heartbeat may have been noted as
+        its predecessor's: a balancer that has restarted would reset them as ended.
+        """
+        early = self.held.list_early()[:FLOWS_PER_MESSAGE]
+        known = Known(tuple((key, address) for key in early))
+        return [self.report(now), *([known] if early else [])]
+
     def take_routes(self, routes: RouteTable) -> None:
         """Take a newer configuration; it tells how long callers wait for answers."""
         if routes.version > self.routes.version:
--- a/ibisshunt/coordination/forwarding/balancer.py
+++ b/ibisshunt/coordination/forwarding/balancer.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from .messages import (
+    FLOWS_PER_MESSAGE,
     Answer,
     Gathered,
     Known,
@@ -27,8 +28,6 @@
 
 # How long a flow without packets is remembered; the agents know it anyway.
 FLOW_IDLE_SECONDS = 30.0
-# Flows in one message between balancers: what fits a packet of usual size.
-FLOWS_PER_MESSAGE = 40
 
 Action = Send | Reset
 
@@ -261,7 +260,7 @@
         return Known(((message.key, flow.address),))
 
     def take_known(self, message: Known, now: float) -> list[Action]:
-        """Take another balancer's word of where flows are.
+        """Take another node's word of where flows are.
 
         It may be wrong: the target's agent sends back what is not held there.
         """
--- a/ibisshunt/coordination/forwarding/holding/held.py
+++ b/ibisshunt/coordination/forwarding/holding/held.py
@@ -26,8 +26,9 @@
     ``asked`` is that packet, which came from the balancer at ``origin``.
     ``opened_at`` is when the target took its opening, ``opened_by`` the number of the
     opening packet that was handed over last and ``taken_by`` that of the one whose
-    answer the caller took. ``is_unsure`` tells that the target may have started anew
-    since, and knows nothing of the flow then.
+    answer the caller took. ``is_early`` tells that the target took the flow between
+    the last heartbeat of one incarnation and the first of the next; it is ``is_unsure``
+    whose it is until the target sends something.
     """
 
     first: int | None
@@ -44,6 +45,7 @@
     opened_by: int | None = None
     taken_by: int | None = None
     offered: tuple[int, ...] = ()
+    is_early: bool = False
     is_unsure: bool = False
 
     @property
--- a/ibisshunt/coordination/forwarding/holding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -117,12 +117,18 @@
             if flow.opened_at > announced_at
         }
         for flow in unsure.values():
-            flow.is_unsure = True
+            flow.is_early = flow.is_unsure = True
         for key in [key for key in self.by_key if key not in unsure]:
             self.drop(key, Denial.REPLACED)
         self.knows_all_at = now
         return len(unsure)
 
+    def list_early(self) -> list[bytes]:
+        """Return the open flows that the target took before its first heartbeat."""
+        return [
+            key for key, flow in self.by_key.items() if flow.is_early and flow.is_open
+        ]
+
     def _note_dropped(self, key: bytes, flow: HeldFlow, why: Denial) -> None:
         if not flow.is_open:
             return
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -59,6 +59,8 @@
     COLD = 6
 
 
+# Flows in one message between nodes: what fits a packet of usual size.
+FLOWS_PER_MESSAGE = 40
 # A load that no target has, in requests.
 NO_LIMIT = 1 << 30
 
--- a/ibisshunt/coordination/forwarding/state.py
+++ b/ibisshunt/coordination/forwarding/state.py
@@ -121,6 +121,10 @@
         if len(self.flows) >= MAX_FLOWS:
             self.flows.pop(next(iter(self.flows)))
         service = target.status.service
-        self.flows[segment.key] = Flow(
+        flow = Flow(
             target.address, service, segment.sequence, False, now, began, NO_OFFERS
         )
+        if segment.acknowledges:
+            # A flow that is found again may be another incarnation's than was noted.
+            flow.acknowledgement = segment.acknowledgement
+        self.flows[segment.key] = flow
--- a/tests/coordination/forwarding/restart/test_checkpoint.py
+++ b/tests/coordination/forwarding/restart/test_checkpoint.py
@@ -4,6 +4,7 @@
 from msgspec.structs import replace
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
+from ibisshunt.coordination.forwarding.messages import Known
 from ibisshunt.coordination.forwarding.restart.archive import (
     GENERATION_SECONDS,
     GENERATIONS,
@@ -233,6 +234,54 @@
     assert len(take_entries(world)) == 1
 
 
+def take_before_first_heartbeat(world):
+    """Open a flow at a target that starts anew; return it as its balancer notes it."""
+    (address,) = world.agents
+    world.wait(0.5)
+    world.now += 0.01
+    _, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    world.now += NOTED_AFTER_SECONDS + 0.1
+    (entry,) = take_entries(world)
+    agent = world.agents[address]
+    agent.announce(replace(agent.present, name="i-next", number=1), world.now)
+    return address, entry
+
+
+def test_a_flow_that_its_targets_successor_took_is_noted_again():
+    # Guards against the reset of an open flow after a restart of its balancer: it was
+    # noted as the former target's, whose place its own one took unheard.
+    world = World(targets=1)
+    address, entry = take_before_first_heartbeat(world)
+    tag = world.agents[address].target.incarnations.tag
+    assert entry.incarnation != tag
+    world.tell_all()
+    world.wait(NOTED_AFTER_SECONDS + 0.1)
+    assert [again.incarnation for again in take_entries(world)] == [tag]
+    assert not world.resets
+
+
+def test_a_flow_that_its_targets_successor_took_outlives_a_restart_of_its_balancer():
+    # Guards against the reset of an open flow when its balancer restarts before it has
+    # heard that another target took the place of the former one.
+    world = World(targets=1)
+    address, entry = take_before_first_heartbeat(world)
+    world.balancers[FIRST] = Balancer(world.random.random, now=world.now)
+    world.balancers[FIRST].take_routes(make_table())
+    world.balancers[FIRST].take_former([entry], world.now)
+    agent = world.agents[address]
+    for message in agent.introduce(address, world.now):
+        if isinstance(message, Known):
+            found = world.balancers[FIRST].take_known(message, world.now)
+            world.carry_out(FIRST, found)
+        else:
+            world.balancers[FIRST].learn(address, message, world.now)
+    run_sweeps(world, 3)
+    assert not world.resets
+    world.send(FIRST, data_segment(make_key(), entry.acknowledgement, 1017))
+    assert len(world.targets[address].taken) == 2
+
+
 def make_entries(count, first=1, incarnation=7):
     return [
         FlowEntry(make_key(port), port, "10.0.2.1", incarnation)
