--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -187,3 +187,46 @@
     )
     assert balancer.flows[make_key()].address == address
     assert not balancer.state.openings
+
+
+def answer_late_copy(world, address):
+    """Let a copy of the opening come after the caller's packet."""
+    again = hand(world, address, open_segment(make_key()))
+    if isinstance(again, ToTarget):
+        answer(world, address, 77_000_000)
+
+
+def answer_crossing_copy(world, address):
+    """Let the target answer a copy that it got before the caller's packet."""
+    answer(world, address, 77_000_000)
+
+
+def restart_beside_repeating_target(world, address):
+    """Restart the agent; its target sends the oldest packet of its answer again."""
+    flow = world.agents[address].flows[make_key()]
+    world.agents[address] = world.make_agent()
+    world.beat(address, number=9, name="i-100000000")
+    oldest = Segment(make_key(), b"data", b"x", flow.first, 1100, acknowledges=True)
+    world.agents[address].take_outward(oldest, world.now)
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [answer_late_copy, answer_crossing_copy, restart_beside_repeating_target],
+)
+def test_an_open_flow_is_there_when_its_caller_comes_back_after_nine_seconds(disturb):
+    # Guards against the reset of an open flow at its first use after a long pause: what
+    # its agent took for its numbers was wrong since before the pause.
+    world = World(targets=2)
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    answered = Segment(
+        make_key(), b"data", bytes(4000), number, 1017, acknowledges=True
+    )
+    world.agents[address].take_outward(answered, world.now)
+    disturb(world, address)
+    world.wait(9.0)
+    world.send(FIRST, data_segment(make_key(), number + 4000, 1017))
+    world.wait(0.5)
+    assert not world.resets
+    assert len(world.targets[address].taken) == 2
