Forget no flow that a target took while a heartbeat of its predecessor was under way

Callers would see what the record shows: an open flow, opened once and used, is reset after a pause while its target serves. Class: a restarted process is taken for its predecessor, at the same address and port.

Cause: when a target's successor speaks, its agent forgets the flows that opened before the former's last heartbeat; those after it may be the successor's, which takes flows from its start on. A heartbeat of the former that arrives once the successor has taken flows, and before its first one, makes all of these look like the former's. They are forgotten, denied to the balancer that asks, or comes with the next packet, and reset.

Evidence: the test fails before with just that: one opening packet, one answer, one request, and a reset by the question after the flows of the former target. Each line of the record fits: the flow opened in the millisecond of its target's start, which is 0 to 20 ms before the first heartbeat; no copy of its opening; other flows not touched; the reset 0.65 s later, in a pause. So the fault is real, and the record's cause suspected.

Flows are the former's for sure only when they opened a whole pause between two heartbeats before its last one. Ruled out: to keep all flows at each replacement, when callers of ended ones hear nothing before they use them; to go by packets that come back, which a full target sends as well. The cost is that callers of flows that opened in the last pause of a target that crashed without closing them are told at their next use, not before.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -359,7 +359,7 @@
 
     def _replace(self, now: float) -> None:
         former, flows = self.present, len(self.flows)
-        unsure = self.held.replace(self.target.announced_at, now)
+        unsure = self.held.replace(self.target.find_sure_until(), now)
         self._tell_event(
             "target_replaced", target=former.name, flows=flows, unsure=unsure
         )
--- a/ibisshunt/coordination/forwarding/holding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -103,18 +103,17 @@
             return Answer.MAYBE
         return Answer.NOT_HELD if target.is_dead(now) else Answer.UNHEARD
 
-    def replace(self, announced_at: float, now: float) -> int:
+    def replace(self, sure_until: float, now: float) -> int:
         """Forget the flows of an incarnation whose place another one took.
 
-        Flows that opened after its last heartbeat, at ``announced_at``, may be the new
-        one's, which took them before its own first heartbeat: forgotten, they would be
-        reset at once, though they are open. Its target tells of them. Returns how many
-        these are.
+        Flows that opened after ``sure_until`` may be the new one's, which took them
+        before its own first heartbeat: forgotten, they would be reset at once, though
+        they are open. Its target tells of them. Returns how many these are.
         """
         unsure = {
             key: flow
             for key, flow in self.by_key.items()
-            if flow.opened_at > announced_at
+            if flow.opened_at > sure_until
         }
         for flow in unsure.values():
             flow.is_early = flow.is_unsure = True
--- a/ibisshunt/coordination/forwarding/holding/own_target.py
+++ b/ibisshunt/coordination/forwarding/holding/own_target.py
@@ -8,6 +8,9 @@
 # A target that has missed so many heartbeats is taken for dead: two may be late
 # together, three are not.
 MISSED_HEARTBEATS = 2.6
+# How late a heartbeat may come, in pauses between two: one that takes longer counts as
+# lost, and its sender has sent the next.
+LATE_HEARTBEATS = 1.0
 
 
 class OwnTarget:
@@ -113,6 +116,14 @@
         self.state = TargetState.GONE
         return True
 
+    def find_sure_until(self) -> float:
+        """Return until when all flows that opened are the present incarnation's.
+
+        Its last heartbeat may have been under way while its successor, unheard yet,
+        took flows at the same address.
+        """
+        return self.announced_at - LATE_HEARTBEATS * self._heartbeat
+
     def is_dead(self, now: float) -> bool:
         """Tell whether it has missed its heartbeats, since the agent's start too."""
         return now - self.announced_at >= MISSED_HEARTBEATS * self._heartbeat
--- a/tests/coordination/forwarding/holding/test_incarnations.py
+++ b/tests/coordination/forwarding/holding/test_incarnations.py
@@ -64,6 +64,7 @@
     world, address = make_world()
     _, number = world.open(FIRST)
     world.send(FIRST, data_segment(make_key(), number))
+    world.wait(2 * HEARTBEAT)
     say(world, address, number=41)
     start_again(world, address)
     say(world, address, number=1, born=BORN + 5000)
@@ -89,6 +90,25 @@
     assert not world.resets
 
 
+def test_a_heartbeat_that_comes_late_takes_no_flow_from_the_target_that_follows():
+    # Guards against the reset of an open flow: its target took it before its first
+    # heartbeat, and one that its predecessor had sent came in between.
+    world, address = make_world()
+    start_again(world, address)
+    _, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    world.now += 0.01
+    assert say(world, address, number=41) == Word.NEXT
+    world.now += 0.01
+    assert say(world, address, number=1, born=BORN + 5000) == Word.SUCCESSOR
+    world.tell_all()
+    world.wait(0.5)
+    assert not world.resets
+    world.send(FIRST, data_segment(make_key(), number, 1017))
+    assert len(world.targets[address].taken) == 2
+    assert not world.resets
+
+
 def test_a_reborn_target_is_not_judged_by_what_its_predecessor_did():
     # The former incarnation failed every request and was left out for it. The new one
     # starts without that: it would else get no flow, and so no chance to do better.
--- a/tests/coordination/forwarding/test_explained.py
+++ b/tests/coordination/forwarding/test_explained.py
@@ -8,7 +8,7 @@
 from ibisshunt.helpers.decisions import DecisionLog
 from ibisshunt.helpers.metrics import Metrics
 from ibisshunt.helpers.samples import LatencyHistogram
-from tests.forwarding_world import World, data_segment, make_key
+from tests.forwarding_world import HEARTBEAT, World, data_segment, make_key
 
 FIRST, SECOND = "10.0.1.0", "10.0.1.1"
 BORN = 1_700_000_000_000
@@ -60,7 +60,7 @@
     told = listen(world.balancers[FIRST])
     world.targets[address].flows.clear()
     agent = world.agents[address]
-    world.wait(0.5)
+    world.wait(2 * HEARTBEAT)
     agent.announce(replace(agent.present, name="i-next", number=1), world.now)
     world.tell_all()
     world.wait(0.3)
@@ -75,7 +75,7 @@
     agent = world.agents[address]
     told = listen(agent)
     agent.tell(Ask(make_key(), number + 500_000), world.now)
-    world.wait(0.5)
+    world.wait(2 * HEARTBEAT)
     agent.announce(replace(agent.present, name="i-next", number=1), world.now)
     agent.tell(Ask(make_key(), number), world.now)
     agent.tell(Ask(make_key(40_777), number), world.now)
