--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -5,15 +5,16 @@
 
 from ...model.domains import DrainedDomains
 from .holding.cold_limit import compute_quota
+from .holding.denials import Denial
 from .holding.held import HeldFlow
-from .holding.held_flows import MAX_FLOW_SECONDS, Denial, HeldFlows
+from .holding.held_flows import MAX_FLOW_SECONDS, HeldFlows
 from .holding.incarnations import Announcement, Word
 from .holding.intake import Intake, Refusal
 from .holding.own_target import OwnTarget
 from .holding.probed import ProbedFlows
+from .holding.reporter import Reporter
 from .holding.requests import UNANSWERED_SECONDS, RequestLog
 from .messages import (
-    FLOWS_PER_MESSAGE,
     Answer,
     Ask,
     Deliver,
@@ -58,17 +59,16 @@
         cold_slack: float = 0.0,
     ) -> None:
         self.service = service
-        self.start = start
         self.domain = domain
         self.target = OwnTarget(heartbeat_seconds, now, tell, None if domain else False)
         self.held = HeldFlows(max_flow_seconds, now)
         self.routes = RouteTable()
         self.requests = RequestLog(tell, observe, self._find_timeout)
+        self._reporter = Reporter(service, start, self.target, self.held, self.requests)
         self.returned = 0
         self.delivered = 0
         self._tag = make_tag(service)
         self._tell_event = tell
-        self._number = 0
         self._cold_overage = cold_overage
         self._cold_slack = cold_slack
         self._probed = ProbedFlows()
@@ -122,32 +122,11 @@
 
     def report(self, now: float) -> Status:
         """Return the next status for the balancers."""
-        self._number += 1
-        found = self.present
-        return Status(
-            self.start,
-            self._number,
-            self.service,
-            self.target.find_told_state(bool(self.flows), now),
-            found.slots if found else 1,
-            self.count_load(now),
-            len(self.flows),
-            int(self.requests.mean_seconds * 1e6),
-            self.target.find_warm_left(now),
-            self.routes.version,
-            round(100 * self.requests.estimate_failing(now)),
-            self.target.incarnations.tag,
-        )
+        return self._reporter.report(self.count_load(now), self.routes.version, now)
 
     def introduce(self, address: str, now: float) -> list[Status | Known]:
-        """Return what a balancer has to hear that meets this agent, at ``address``.
-
-        Flows that the target took before its first heartbeat may have been noted as
-        its predecessor's: a balancer that has restarted would reset them as ended.
-        """
-        early = self.held.list_early()[:FLOWS_PER_MESSAGE]
-        known = Known(tuple((key, address) for key in early))
-        return [self.report(now), *([known] if early else [])]
+        """Return what a balancer has to hear that meets this agent, at ``address``."""
+        return [self.report(now), *self._reporter.list_early(address)]
 
     def take_routes(self, routes: RouteTable) -> None:
         """Take a newer configuration; it tells how long callers wait for answers."""
@@ -207,7 +186,7 @@
         if segment.opens and not segment.acknowledges:
             return self._take_opening(origin, segment, message.limit, now)
         if not self.held.may_hold(segment, self.state, now):
-            self._explain_denial(segment.key, segment.acknowledgement, origin)
+            self._log_denial(segment.key, segment.acknowledgement, origin)
             return self._return(origin, Refusal(Reason.NOT_HELD), segment)
         if segment.data:
             self._intake.end(segment.key)
@@ -296,7 +275,7 @@
         """Answer whether the target holds a flow."""
         answer = self.held.answer(message, self.target, now)
         if answer == Answer.NOT_HELD:
-            self._explain_denial(message.key, message.acknowledgement, "-")
+            self._log_denial(message.key, message.acknowledgement, "-")
         return Told(message.key, answer)
 
     def take_probe(
@@ -338,22 +317,11 @@
         route = self.routes.find(key[6:])
         return UNANSWERED_SECONDS if route is None else route.timeout / 1000
 
-    def _explain_denial(self, key: bytes, acknowledgement: int, peer: str) -> None:
-        """Log why a flow is denied that its target was seen to hold."""
-        why = self.held.explain_denial(key)
-        if why is None:
-            return
-        flow = self.held.find(key)
-        self._tell_event(
-            "open_flow_denied",
-            flow=key.hex(),
-            reason=why,
-            peer=peer,
-            acknowledged=acknowledgement,
-            first=flow.first if flow else "-",
-            last=flow.last if flow else "-",
-            opened_by=flow.opened_by if flow else "-",
-        )
+    def _log_denial(self, key: bytes, acknowledgement: int, peer: str) -> None:
+        """Log why a flow is denied that the target was seen to hold."""
+        fields = self.held.describe_denial(key, acknowledgement)
+        if fields is not None:
+            self._tell_event("open_flow_denied", peer=peer, **fields)
 
     # What is forgotten.
 
--- a/ibisshunt/coordination/forwarding/holding/held_flows.py
+++ b/ibisshunt/coordination/forwarding/holding/held_flows.py
@@ -1,9 +1,8 @@
 """Keep the flows that the target beside an agent holds, as far as packets show them."""
 
-from enum import StrEnum
-
 from ..messages import Answer, Ask, TargetState
 from ..segment import Segment
+from .denials import Denial, Denials
 from .held import HeldFlow
 from .own_target import OwnTarget
 
@@ -13,23 +12,6 @@
 # How long an ended flow is remembered, for late copies of its packets: longer than
 # the pause between two of them.
 ENDED_SECONDS = 4.0
-# Flows that were forgotten while they were open, for the log alone.
-MAX_DROPPED = 200
-
-
-class Denial(StrEnum):
-    """Tell why an agent denies a flow that it has seen open and not end.
-
-    OTHER_NUMBERS: the caller acknowledges what the target has not sent in it. BOUNCED:
-    the target sent a packet of it back. RESET: the target reset it. REPLACED: another
-    incarnation took its target's place. LEFT: its target said its last word, or died.
-    """
-
-    OTHER_NUMBERS = "other_numbers"
-    BOUNCED = "bounced"
-    RESET = "reset"
-    REPLACED = "replaced"
-    LEFT = "left"
 
 
 class HeldFlows:
@@ -43,7 +25,7 @@
         self.by_key: dict[bytes, HeldFlow] = {}
         self.knows_all_at = now + max_flow_seconds
         self._max_flow = max_flow_seconds
-        self._dropped: dict[bytes, Denial] = {}
+        self._denials = Denials()
 
     def knows_all(self, now: float) -> bool:
         """Tell whether the agent has seen each flow that its target holds."""
@@ -64,19 +46,18 @@
         """Forget a flow."""
         flow = self.by_key.pop(key, None)
         if flow is not None:
-            self._note_dropped(key, flow, why)
+            self._denials.note_forgotten(key, flow, why)
 
     def drop_all(self, why: Denial) -> None:
         """Forget all flows."""
         for key in tuple(self.by_key):
             self.drop(key, why)
 
-    def explain_denial(self, key: bytes) -> Denial | None:
-        """Return why an open flow is denied; None for one that was never open here."""
-        flow = self.by_key.get(key)
-        if flow is None:
-            return self._dropped.get(key)
-        return None if flow.first is None else Denial.OTHER_NUMBERS
+    def describe_denial(
+        self, key: bytes, acknowledgement: int
+    ) -> dict[str, object] | None:
+        """Return the fields of a log line on a denied flow; None for an unknown one."""
+        return self._denials.describe(key, self.by_key.get(key), acknowledgement)
 
     def may_hold(self, segment: Segment, state: TargetState, now: float) -> bool:
         """Tell whether a packet of an open flow may belong to one of the target's.
@@ -128,13 +109,6 @@
             key for key, flow in self.by_key.items() if flow.is_early and flow.is_open
         ]
 
-    def _note_dropped(self, key: bytes, flow: HeldFlow, why: Denial) -> None:
-        if not flow.is_open:
-            return
-        self._dropped[key] = why
-        if len(self._dropped) > MAX_DROPPED:
-            del self._dropped[next(iter(self._dropped))]
-
     def forget_old(self, now: float) -> list[bytes]:
         """Forget flows that are over; return their keys."""
         over = [
