--- a/tests/coordination/forwarding/restart/test_checkpoint.py
+++ b/tests/coordination/forwarding/restart/test_checkpoint.py
@@ -4,7 +4,8 @@
 from msgspec.structs import replace
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
-from ibisshunt.coordination.forwarding.messages import Known
+from ibisshunt.coordination.forwarding.holding.held import HeldFlow
+from ibisshunt.coordination.forwarding.messages import FLOWS_PER_MESSAGE, Known
 from ibisshunt.coordination.forwarding.restart.archive import (
     GENERATION_SECONDS,
     GENERATIONS,
@@ -282,6 +283,23 @@
     assert len(world.targets[address].taken) == 2
 
 
+def test_an_agent_tells_of_open_early_flows_alone_and_of_a_message_full():
+    # Guards against a datagram too large for a thin link, and against flows that have
+    # ended being taken for open ones.
+    world = World(targets=1)
+    ((address, agent),) = world.agents.items()
+    for port in range(FLOWS_PER_MESSAGE + 5):
+        flow = HeldFlow(1, world.now, is_proved=True, is_early=True)
+        flow.caller_ended = port < 2
+        agent.flows[make_key(port)] = flow
+    _, known = agent.introduce(address, world.now)
+    told = [key for key, _ in known.flows]
+    assert told == [make_key(port) for port in range(2, FLOWS_PER_MESSAGE + 2)]
+    for flow in agent.flows.values():
+        flow.caller_ended = True
+    assert len(agent.introduce(address, world.now)) == 1
+
+
 def make_entries(count, first=1, incarnation=7):
     return [
         FlowEntry(make_key(port), port, "10.0.2.1", incarnation)
--- a/tests/coordination/forwarding/restart/test_doubtful.py
+++ b/tests/coordination/forwarding/restart/test_doubtful.py
@@ -194,3 +194,19 @@
     world.send(FIRST, data_segment(make_key(), number, 1017))
     assert len(world.targets[address].taken) == 2
     assert not world.told
+
+
+def test_a_flow_that_its_target_denies_is_not_kept_there():
+    # Guards against packets that go to a target which does not hold their flow, while
+    # an agent that is younger than the flow can't tell.
+    world = World(targets=2)
+    tell_born(world)
+    address, number = world.open(FIRST)
+    world.send(FIRST, data_segment(make_key(), number))
+    other = next(found for found in world.agents if found != address)
+    world.agents[other] = world.make_agent()
+    world.beat(other, number=9, name="i-other")
+    start_again(world, address)
+    world.wait(0.5)
+    assert not world.resets
+    assert make_key() not in world.balancers[FIRST].flows
--- a/tests/coordination/forwarding/test_explained.py
+++ b/tests/coordination/forwarding/test_explained.py
@@ -4,6 +4,12 @@
 
 from ibisshunt.components.directory.message_counts import MessageCounts
 from ibisshunt.components.forwarding.balancer_samples import list_balancer_samples
+from ibisshunt.coordination.forwarding.holding.denials import (
+    MAX_FORGOTTEN,
+    Denial,
+    Denials,
+)
+from ibisshunt.coordination.forwarding.holding.held import HeldFlow
 from ibisshunt.coordination.forwarding.messages import Ask, Ping
 from ibisshunt.helpers.decisions import DecisionLog
 from ibisshunt.helpers.metrics import Metrics
@@ -97,6 +103,16 @@
     assert not find(told, "open_flow_denied")
 
 
+def test_the_newest_forgotten_flows_are_remembered():
+    denials = Denials()
+    flow = HeldFlow(1, 0.0, is_proved=True)
+    keys = [make_key(port) for port in range(MAX_FORGOTTEN + 1)]
+    for key in keys:
+        denials.note_forgotten(key, flow, Denial.BOUNCED)
+    assert denials.describe(keys[0], None, 1) is None
+    assert denials.describe(keys[1], None, 1)["reason"] == "bounced"
+
+
 def test_what_a_balancer_decided_stands_before_its_traffic_on_the_metrics_page():
     # A collector that cuts the page loses the counters of messages, not of decisions.
     world = World()
--- a/tests/coordination/forwarding/test_late_copies.py
+++ b/tests/coordination/forwarding/test_late_copies.py
@@ -3,6 +3,7 @@
 import pytest
 from msgspec.structs import replace
 
+from ibisshunt.coordination.forwarding.holding.held import MAX_OFFERED
 from ibisshunt.coordination.forwarding.messages import (
     Answer,
     Ask,
@@ -98,6 +99,17 @@
         assert isinstance(hand(world, address, data_segment(key, taken)), ToTarget)
 
 
+def test_answers_that_no_caller_takes_do_not_pile_up():
+    world = World(targets=1)
+    for copy in range(3 * MAX_OFFERED):
+        hand(world, "10.0.2.0", open_segment(make_key()))
+        answer(world, "10.0.2.0", 5000 * (copy + 1))
+    flow = world.agents["10.0.2.0"].flows[make_key()]
+    assert len(flow.offered) == MAX_OFFERED
+    last = data_segment(make_key(), 5000 * 3 * MAX_OFFERED + 1)
+    assert isinstance(hand(world, "10.0.2.0", last), ToTarget)
+
+
 def test_a_copy_is_handed_over_while_the_caller_has_not_answered():
     # Guards against a caller whose target's answer was lost.
     world = World(targets=1)
