--- a/review/harness.py
+++ b/review/harness.py
@@ -109,13 +109,13 @@
 class Program:
     """One process of the system, with a settings file as the platform writes it."""
 
-    def __init__(self, fleet, role, ip, zone, listen, **fields):
+    def __init__(self, fleet, role, ip, zone, listen, is_first_start, **fields):
         self.fleet, self.role, self.ip = fleet, role, ip
         self._path = fleet.folder / f"{role}-{ip}.toml"
         self._log = (fleet.folder / f"{role}-{ip}.log").open("ab")
         self._zone, self._listen, self._fields = zone, listen, fields
         self.process = None
-        self.start(bootstrap=True)
+        self.start(bootstrap=is_first_start)
 
     def start(self, bootstrap=False):
         """Write the settings and start the program."""
@@ -220,6 +220,21 @@
         }
         return self._add("balancer", ip, zone, listen)
 
+    def add_control(self, ip, zone, seeds=None):
+        """Start a control host with an empty disk in a fleet that runs."""
+        if seeds is not None:
+            self.seeds = seeds
+        folder = tempfile.mkdtemp(prefix=f"data-{ip}-", dir=self.folder)
+        return self._add(
+            "control",
+            ip,
+            zone,
+            {"Control": f"{ip}:{self.ports['control']}"},
+            is_first_start=False,
+            DataDir=folder,
+            FailureDomainMember=True,
+        )
+
     def add_agent(self, ip, zone, service=SERVICE):
         """Start an agent."""
         listen = {
@@ -261,8 +276,8 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
-    def _add(self, role, ip, zone, listen, **fields):
-        program = Program(self, role, ip, zone, listen, **fields)
+    def _add(self, role, ip, zone, listen, is_first_start=True, **fields):
+        program = Program(self, role, ip, zone, listen, is_first_start, **fields)
         self.programs.append(program)
         return program
 
