--- a/review/harness.py
+++ b/review/harness.py
@@ -166,6 +166,19 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def stop(self, grace_seconds=6.0):
+        """Stop the program as the platform does: SIGTERM, then SIGKILL."""
+        self.send_signal(signal.SIGTERM)
+        try:
+            self.process.wait(timeout=grace_seconds)
+        except subprocess.TimeoutExpired:
+            self.send_signal(signal.SIGKILL)
+            self.process.wait()
+
+    def count_starts(self):
+        """Return how often the program has reported that it started."""
+        return Path(self._log.name).read_text().count("event=started")
+
     def end(self):
         """End the process."""
         self.send_signal(signal.SIGCONT)
