--- a/review/harness.py
+++ b/review/harness.py
@@ -7,6 +7,7 @@
 
 # ruff: noqa: ANN001, ANN002, ANN003, ANN201, ANN202, ANN204, ANN205
 
+import atexit
 import json
 import os
 import random
@@ -32,8 +33,11 @@
 SUM_KEY = b"stand-in"
 # A client accepts a reset within this distance of its last ack.
 RESET_WINDOW = 76_800
-VIP = ("198.18.0.1", 8443)
+# The address and port of the route; only packets and the configuration name it.
+VIP = ("127.198.0.1", 8443)
 SERVICE = "huvo11a"
+# A case that takes longer is given up.
+MAX_RUN_SECONDS = 110
 # Values of the small site.
 HEARTBEAT_SECONDS = 0.77
 CONTACT_SECONDS = 4.0
@@ -202,6 +206,7 @@
         self.control_ips = [self.make_ip(1, n) for n in (1, 2, 3)]
         self.seeds = [f"{ip}:{control_port}" for ip in self.control_ips]
         self.programs = []
+        atexit.register(self.close)
         self.controls = [
             self._add(
                 "control",
@@ -321,7 +326,7 @@
         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
             with socket.socket(socket.AF_INET, kind) as probe:
                 try:
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind((f"{self._prefix}.1.1", port))
                 except OSError:
                     return False
         return True
@@ -718,7 +723,9 @@
     """Run ``play(record, has_trouble)``; exit with what it returns, or with 2."""
     record = Record(Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, lambda number, frame: sys.exit(2))
+    signal.alarm(MAX_RUN_SECONDS)
     record.write(f"disruption: {'on' if has_trouble else 'off'}")
     try:
         broken = play(record, has_trouble)
