--- a/review/harness.py
+++ b/review/harness.py
@@ -719,10 +719,11 @@
     }
 
 
-def run_case(folder, play):
-    """Run ``play(record, has_trouble)``; exit with what it returns, or with 2."""
-    record = Record(Path(folder) / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(record, has_trouble, play):
+    """Run ``play(record, has_trouble)``; exit with 1 if it returns True, else 0.
+
+    Exit with 2 if the case could not run.
+    """
     for number in (signal.SIGTERM, signal.SIGALRM):
         signal.signal(number, lambda number, frame: sys.exit(2))
     signal.alarm(MAX_RUN_SECONDS)
