Keep a target's flows until it is known which incarnation is alive

Cause: Incarnations.classify took every heartbeat with an unknown name for that of a newer incarnation, by order of arrival alone. Agent._replace_incarnation dropped the flows of the living one and declared the flow table complete, and accept recorded the living one as ended, for good.

The resets were sent 0.07 s after the heartbeat: at the living one's next heartbeat, 0.57 s later, there was nothing left to take back. So the decision itself must wait.

The fix: a heartbeat of another incarnation makes it a candidate. The current one stays until its leave message, a later start time of the same name, or its own silence (2.6 intervals, as elsewhere) together with a candidate that was heard again half an interval later. Until then flows, requests and the reported incarnation stay. While the current one is silent the candidate sets the state, so that a successor gets new flows at its first heartbeat, as before; while both are heard, the target is draining or warming up if one of them says so. Packets of flows that a crashed target held are bounced by its successor and searched as before. A replaced incarnation that is heard again is a candidate too; from then on the agent does not deny flows that it does not know. Two log lines (target_contested, target_kept or target_replaced successor=) and a counter tell it.

What is slower: idle flows of a target that crashed and restarted within 2 s are reset up to 2.8 s after the successor's first heartbeat, before: at once. One that was silent for longer: 0.8 s after it.

Why it works: of two incarnations at one address one is dead, and the dead one's messages are finite. The living one is heard every interval, so it is never silent while a dead one is confirmed.

Replaced, as strict: five tests in which one heartbeat of another name ended a target that had been heard 0.4 s before now let the target fall silent and its successor be heard twice (World.replace_target); what they assert is unchanged.

--- a/ibisshunt/components/forwarding/agent.py
+++ b/ibisshunt/components/forwarding/agent.py
@@ -58,6 +58,8 @@
     (
         "target_state",
         "target_replaced",
+        "target_contested",
+        "target_kept",
         "target_left",
         "target_silent",
         "target_dead",
--- a/ibisshunt/components/forwarding/agent_samples.py
+++ b/ibisshunt/components/forwarding/agent_samples.py
@@ -32,6 +32,9 @@
     yield Sample("ibisshunt_packets_sent_back_total", COUNTER, {}, agent.rejected_count)
     yield Sample("ibisshunt_target_state", GAUGE, {}, int(agent.state))
     yield Sample("ibisshunt_configuration_version", GAUGE, {}, agent.routes.version)
+    yield Sample(
+        "ibisshunt_contested_heartbeats_total", COUNTER, {}, agent.contested_heartbeats
+    )
     drained = int(agent.target.is_drained is not False)
     yield Sample("ibisshunt_own_domain_drained", GAUGE, {}, drained)
     yield Sample("ibisshunt_refused_words_total", COUNTER, {}, rejected_messages)
--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -75,6 +75,8 @@
         )
         self.rejected_count = 0
         self.delivered_count = 0
+        # Heartbeats of incarnations that contradicted the current one.
+        self.contested_heartbeats = 0
         self._service_tag = compute_service_tag(service)
         self._log_event = log_event
         self._warmup_overage = warmup_overage
@@ -104,11 +106,14 @@
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> HeartbeatKind:
         """Handle a heartbeat; return its kind. Ignore STALE and MISSING_START ones."""
-        kind = self.target.classify(heartbeat)
+        kind = self.target.classify(heartbeat, now)
         if kind in (HeartbeatKind.STALE, HeartbeatKind.MISSING_START):
             return kind
+        if kind == HeartbeatKind.CANDIDATE:
+            self._handle_candidate(heartbeat, now)
+            return kind
         if kind == HeartbeatKind.NEW_INCARNATION:
-            self._replace_incarnation(now)
+            self._replace_incarnation(heartbeat.name, now)
         elif kind == HeartbeatKind.FIRST and heartbeat.sequence <= 1:
             # The target started after this agent, which has seen all of its flows.
             self.flow_table.complete_at = now
@@ -118,10 +123,20 @@
 
     def handle_leave(self, name: str, start_time_ms: int | None = None) -> bool:
         """Handle a leave message; return whether the current target has left."""
+        is_candidate = self.target.candidates.find(name) is not None
         if not self.target.handle_leave(name, start_time_ms):
+            if is_candidate:
+                self._log_kept(name, "candidate_left")
             return False
         self._log_event("target_left", target=name, flows=len(self.flows))
-        self._drop_flows()
+        successor = self.target.candidates.find_newest()
+        if successor is None:
+            self._drop_flows()
+            return True
+        # The candidate may have accepted flows before this message arrived.
+        heard_at = successor.last_heard_at
+        self._replace_incarnation(successor.heartbeat.name, heard_at)
+        self.target.handle_heartbeat(successor.heartbeat, heard_at)
         return True
 
     def pause(self, now: float) -> None:
@@ -172,6 +187,8 @@
             self._probes.expire(now)
             for key in self.flow_table.expire(now):
                 self.request_tracker.remove_flow(key)
+        for candidate in self.target.remove_silent_candidates(now):
+            self._log_kept(candidate.heartbeat.name, "candidate_silent")
         if not self.target.detect_absence(now):
             return False
         flows = len(self.flows)
@@ -358,15 +375,52 @@
         if fields is not None:
             self._log_event("open_flow_denied", peer=peer, **fields)
 
-    # Loss of the target.
+    # Replacement and loss of the target.
+
+    def _handle_candidate(self, heartbeat: Heartbeat, now: float) -> None:
+        """Keep the flows while it is unknown which incarnation is alive."""
+        self.contested_heartbeats += 1
+        if self.target.incarnations.was_replaced(heartbeat.name):
+            # It may not have ended when it was replaced, and hold flows that this agent
+            # has dropped.
+            self.flow_table.expect_unknown_flows(now)
+        current, is_silent = self.current_heartbeat, self.target.is_current_silent(now)
+        if not self.target.handle_candidate(heartbeat, now):
+            return
+        self._log_event(
+            "target_contested",
+            target=current.name,
+            candidate=heartbeat.name,
+            believed=heartbeat.name if is_silent else current.name,
+            reason="current_silent" if is_silent else "current_heard",
+            silent_ms=int(1000 * (now - self.target.last_heartbeat_at)),
+            number=heartbeat.sequence,
+            flows=len(self.flows),
+        )
+
+    def _log_kept(self, candidate: str, reason: str) -> None:
+        self._log_event(
+            "target_kept",
+            target=self.current_heartbeat.name,
+            candidate=candidate,
+            reason=reason,
+            flows=len(self.flows),
+        )
 
-    def _replace_incarnation(self, now: float) -> None:
+    def _replace_incarnation(self, successor: str, now: float) -> None:
         previous, flows = self.current_heartbeat, len(self.flows)
+        is_return = self.target.incarnations.was_replaced(successor)
         uncertain = self.flow_table.drop_previous_incarnation(
             self.target.compute_certain_until(), now
         )
+        if is_return:
+            self.flow_table.expect_unknown_flows(now)
         self._log_event(
-            "target_replaced", target=previous.name, flows=flows, unsure=uncertain
+            "target_replaced",
+            target=previous.name,
+            successor=successor,
+            flows=flows,
+            unsure=uncertain,
         )
         self._admission.clear()
         self.request_tracker.clear()
--- a/ibisshunt/coordination/forwarding/target_tracking/flow_table.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/flow_table.py
@@ -105,6 +105,10 @@
         self.complete_at = now
         return len(uncertain)
 
+    def expect_unknown_flows(self, now: float) -> None:
+        """Record that the target may hold flows that the agent does not know."""
+        self.complete_at = now + self._max_flow_seconds
+
     def list_opened_before_heartbeat(self) -> list[bytes]:
         """Return the open flows that the target accepted before its first heartbeat."""
         return [
--- a/ibisshunt/coordination/forwarding/target_tracking/local_target.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/local_target.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from ..messages import TargetState
+from .candidates import Candidate, Candidates
 from .incarnations import Heartbeat, HeartbeatKind, Incarnations
 
 # Heartbeat intervals without a heartbeat after which a target counts as dead: two
@@ -11,11 +12,18 @@
 # How late a heartbeat may arrive, in heartbeat intervals: one that takes longer counts
 # as lost, and its sender has sent the next one.
 LATE_HEARTBEAT_INTERVALS = 1.0
+# Heartbeat intervals for which a candidate was heard before it may replace a silent
+# incarnation: one heartbeat proves nothing, and late ones arrive together.
+CONFIRMATION_INTERVALS = 0.5
 
 
 class LocalTarget:
     """State of an agent's target, according to its heartbeats.
 
+    While two incarnations are heard, only one of them is alive. The current one stays
+    until it has left, or until it is silent and a candidate was heard repeatedly. A
+    candidate determines the state, but not the flows, while the current one is silent.
+
     ``heartbeat_seconds`` is the heartbeat interval; the agent starts at ``now``.
     ``is_drained`` tells whether the target's failure domain is drained. It is None
     while the agent does not know: a drain may be in effect, so until then the target
@@ -31,6 +39,8 @@
     ) -> None:
         self.state = TargetState.ABSENT
         self.incarnations = Incarnations()
+        self.candidates = Candidates()
+        # When the current incarnation was last heard, or the agent's start.
         self.last_heartbeat_at = now
         self.is_paused = False
         self.is_drained = is_drained
@@ -69,18 +79,57 @@
         self.is_drained = is_drained
         return changed
 
-    def classify(self, heartbeat: Heartbeat) -> HeartbeatKind:
+    def classify(self, heartbeat: Heartbeat, now: float) -> HeartbeatKind:
         """Classify a heartbeat; STALE and MISSING_START ones are to be ignored."""
-        return self.incarnations.classify(heartbeat)
+        kind = self.incarnations.classify(heartbeat)
+        if kind != HeartbeatKind.CANDIDATE:
+            return kind
+        if self.candidates.is_overtaken(heartbeat):
+            return HeartbeatKind.STALE
+        if self._is_confirmed(heartbeat.name, now):
+            return HeartbeatKind.NEW_INCARNATION
+        return HeartbeatKind.CANDIDATE
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Update the state from a heartbeat."""
+        """Update the state from a heartbeat of the current or a new incarnation."""
+        self.candidates.remove(heartbeat.name)
         self.incarnations.accept(heartbeat)
         self.last_heartbeat_at = now
         self._warm_at = now + heartbeat.warmup_left_ms / 1000
         self._has_heartbeat_since_drain = True
+        self._set_state(heartbeat, heartbeat.is_draining)
+
+    def handle_candidate(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Update the state from a candidate's heartbeat; return whether it is new.
+
+        As long as the current one is heard too, the target counts as draining and as
+        warming up if one of them says so: a draining target must get no new flow. A
+        candidate that the current one had replaced is most probably late.
+        """
+        is_new = self.candidates.record(heartbeat, now)
+        warm_at = now + heartbeat.warmup_left_ms / 1000
+        if self.is_current_silent(now):
+            self._warm_at = warm_at
+            self._set_state(heartbeat, heartbeat.is_draining)
+            return is_new
+        if self.incarnations.was_replaced(heartbeat.name):
+            return is_new
+        self._warm_at = max(self._warm_at, warm_at)
+        was_draining = self.state == TargetState.DRAINING
+        self._set_state(heartbeat, was_draining or heartbeat.is_draining)
+        return is_new
+
+    def _is_confirmed(self, name: str, now: float) -> bool:
+        """Return whether a candidate replaces the current incarnation."""
+        candidate = self.candidates.find(name)
+        if candidate is None or not self.is_current_silent(now):
+            return False
+        heard_seconds = now - candidate.first_heard_at
+        return heard_seconds >= CONFIRMATION_INTERVALS * self._heartbeat_seconds
+
+    def _set_state(self, heartbeat: Heartbeat, is_draining: bool) -> None:
         previous_state = self.state
-        self.state = TargetState.DRAINING if heartbeat.is_draining else TargetState.OPEN
+        self.state = TargetState.DRAINING if is_draining else TargetState.OPEN
         if previous_state != self.state:
             self._log_event(
                 "target_state",
@@ -94,6 +143,7 @@
     def handle_leave(self, name: str, start_time_ms: int | None) -> bool:
         """Handle a leave message; return whether the current target has left."""
         if not self.incarnations.record_leave(name, start_time_ms):
+            self.candidates.remove(name)
             return False
         self.state = TargetState.GONE
         return True
@@ -131,11 +181,23 @@
         )
 
     def has_missed_heartbeats(self, now: float) -> bool:
-        """Return whether heartbeats are missing, also since the agent's start."""
-        return (
-            now - self.last_heartbeat_at
-            >= MISSED_HEARTBEAT_INTERVALS * self._heartbeat_seconds
-        )
+        """Return whether heartbeats are missing, also since the agent's start.
+
+        A candidate's heartbeat shows that some incarnation is alive.
+        """
+        last_heard_at = max(self.last_heartbeat_at, self.candidates.last_heard_at)
+        return last_heard_at <= self._compute_silent_since(now)
+
+    def is_current_silent(self, now: float) -> bool:
+        """Return whether heartbeats of the current incarnation are missing."""
+        return self.last_heartbeat_at <= self._compute_silent_since(now)
+
+    def remove_silent_candidates(self, now: float) -> list[Candidate]:
+        """Forget and return the candidates whose heartbeats have stopped."""
+        return self.candidates.remove_silent(self._compute_silent_since(now))
+
+    def _compute_silent_since(self, now: float) -> float:
+        return now - MISSED_HEARTBEAT_INTERVALS * self._heartbeat_seconds
 
     def compute_reported_state(self, has_flows: bool, now: float) -> TargetState:
         """Return the state that is reported to balancers."""
--- a/tests/coordination/forwarding/recovery/test_checkpoint.py
+++ b/tests/coordination/forwarding/recovery/test_checkpoint.py
@@ -247,10 +247,7 @@
     world.send(BALANCER, data_segment(make_key(), number))
     world.now += CHECKPOINT_AGE_SECONDS + 0.1
     (entry,) = pop_entries(world)
-    agent = world.agents[address]
-    agent.handle_heartbeat(
-        replace(agent.current_heartbeat, name="i-next", sequence=1), world.now
-    )
+    world.replace_target(address, "i-next")
     return address, entry
 
 
--- a/tests/coordination/forwarding/target_tracking/test_incarnations.py
+++ b/tests/coordination/forwarding/target_tracking/test_incarnations.py
@@ -35,6 +35,7 @@
     """Return a world with one target whose heartbeats carry its start time."""
     world = World(targets=1)
     (address,) = world.agents
+    world.replace_target(address, NAME, start_time_ms=START_MS)
     world.wait(0.5)
     send_heartbeat(world, address, sequence=40)
     world.send_statuses()
--- a/tests/coordination/forwarding/test_flows.py
+++ b/tests/coordination/forwarding/test_flows.py
@@ -757,11 +757,12 @@
 
 
 def test_a_late_heartbeat_of_a_previous_incarnation_is_ignored():
-    # A target crashed and another one replaced it at once; a heartbeat of the first
-    # arrives late. Treated as a new incarnation, it would drop the flows of the second.
+    # A target crashed and another one replaced it; a heartbeat of the first arrives
+    # late. Treated as a new incarnation, it would drop the flows of the second.
     world = World(targets=1)
     (address,) = world.agents
-    world.send_heartbeat(address, number=1, name="i-second")
+    world.replace_target(address, "i-second")
+    world.send_statuses()
     world.open(FIRST)
     world.send_heartbeat(address, number=7, name="i-100000000", draining=True)
     agent = world.agents[address]
--- a/tests/coordination/forwarding/test_reset_reasons.py
+++ b/tests/coordination/forwarding/test_reset_reasons.py
@@ -65,11 +65,8 @@
     address, _ = open_and_use(world)
     events = collect_events(world.balancers[FIRST])
     world.targets[address].flows.clear()
-    agent = world.agents[address]
     world.wait(2 * HEARTBEAT)
-    agent.handle_heartbeat(
-        replace(agent.current_heartbeat, name="i-next", sequence=1), world.now
-    )
+    world.replace_target(address, "i-next")
     world.send_statuses()
     world.wait(0.3)
     (fields,) = select(events, "flow_reset")
@@ -84,9 +81,7 @@
     events = collect_events(agent)
     agent.answer_query(FlowQuery(make_key(), ack + 500_000), world.now)
     world.wait(2 * HEARTBEAT)
-    agent.handle_heartbeat(
-        replace(agent.current_heartbeat, name="i-next", sequence=1), world.now
-    )
+    world.replace_target(address, "i-next")
     agent.answer_query(FlowQuery(make_key(), ack), world.now)
     agent.answer_query(FlowQuery(make_key(40_777), ack), world.now)
     denied = select(events, "open_flow_denied")
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -160,6 +160,20 @@
         heartbeat = Heartbeat(name, agent.service, slots, draining, 0, number)
         agent.handle_heartbeat(heartbeat, self.now)
 
+    def replace_target(self, address, name, **changes):
+        """Let a target fall silent, and another one be heard until it replaces it.
+
+        Its last heartbeat has sequence number 2; ``changes`` apply to the heartbeats.
+        """
+        agent = self.agents[address]
+        silent_since = agent.target.last_heartbeat_at
+        self.now = max(self.now, silent_since + 3 * HEARTBEAT)
+        heartbeat = replace(agent.current_heartbeat, name=name, **changes)
+        agent.handle_heartbeat(replace(heartbeat, sequence=1), self.now)
+        self.now += HEARTBEAT
+        agent.handle_heartbeat(replace(heartbeat, sequence=2), self.now)
+        assert agent.current_heartbeat.name == name
+
     def add_load(self, address, count):
         """Add ``count`` requests of other callers at a target."""
         for number in range(count):
