Do not deny flows on the first heartbeat that a started agent hears

What callers saw: an open flow of a living target is reset after a restart of its agent, if a late heartbeat of a crashed incarnation is the first that the agent hears.

Cause: the first heartbeat with sequence number 1 was taken for that of a target that started after the agent, so the agent declared its flow table complete and denied every flow that it had not seen. With any other number, the flows went when the living target's own heartbeat replaced the late one.

Evidence: five tests that fail without this change (NOT_HELD for the living target's flow, and held_by_nobody resets), found by going through the places that act on one message with an unknown name.

The fix: an incarnation counts as established once it alone was heard for 2.6 intervals. Only then is the flow table complete, and only the flows of an established incarnation are dropped when it is replaced. Otherwise they stay, as flows of which the agent says MAYBE; the target itself decides by bouncing their packets.

Why it works: a living target is heard within that time, so a late heartbeat cannot be the only one.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -75,6 +75,9 @@
         )
         self.rejected_count = 0
         self.delivered_count = 0
+        # Whether the first heartbeat received was also the first one of its sender. It
+        # may have been a late one, so it counts only once its sender is established.
+        self._has_target_started_later = False
         # Heartbeats of incarnations that contradicted the current one.
         self.contested_heartbeats = 0
         self._service_tag = compute_service_tag(service)
@@ -114,10 +117,12 @@
             return kind
         if kind == HeartbeatKind.NEW_INCARNATION:
             self._replace_incarnation(heartbeat.name, now)
-        elif kind == HeartbeatKind.FIRST and heartbeat.sequence <= 1:
-            # The target started after this agent, which has seen all of its flows.
-            self.flow_table.complete_at = now
+        elif kind == HeartbeatKind.FIRST:
+            self._has_target_started_later = heartbeat.sequence <= 1
         self.target.handle_heartbeat(heartbeat, now)
+        if self._has_target_started_later and self.target.is_established:
+            # The agent has seen all flows of its target.
+            self.flow_table.record_complete(now)
         self.request_tracker.slots = max(1, heartbeat.slots)
         return kind
 
@@ -409,11 +414,8 @@
 
     def _replace_incarnation(self, successor: str, now: float) -> None:
         previous, flows = self.current_heartbeat, len(self.flows)
-        is_return = self.target.incarnations.was_replaced(successor)
-        uncertain = self.flow_table.drop_previous_incarnation(
-            self.target.compute_certain_until(), now
-        )
-        if is_return:
+        uncertain = self._drop_previous_flows(now)
+        if self.target.incarnations.was_replaced(successor):
             self.flow_table.expect_unknown_flows(now)
         self._log_event(
             "target_replaced",
@@ -422,9 +424,20 @@
             flows=flows,
             unsure=uncertain,
         )
+        self.request_tracker.reset_statistics()
+
+    def _drop_previous_flows(self, now: float) -> int:
+        """Drop the flows of the replaced incarnation; return how many others stay."""
+        if not self.target.is_established:
+            # Its heartbeats may all have been late: the flows may belong to the
+            # successor, which this agent had not heard before.
+            self._has_target_started_later = False
+            return self.flow_table.keep_uncertain()
         self._admission.clear()
         self.request_tracker.clear()
-        self.request_tracker.reset_statistics()
+        return self.flow_table.drop_previous_incarnation(
+            self.target.compute_certain_until(), now
+        )
 
     def _drop_flows(self) -> None:
         self.flow_table.drop_all(DenialReason.LEFT)
--- a/ibisshunt/coordination/forwarding/target_tracking/flow_table.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/flow_table.py
@@ -1,5 +1,7 @@
 """Track the flows that an agent's target holds, as far as packets show them."""
 
+from collections.abc import Iterable
+
 from ..messages import Answer, FlowQuery, TargetState
 from ..segment import Segment
 from .denials import DenialLog, DenialReason
@@ -98,13 +100,24 @@
             for key, flow in self.by_key.items()
             if flow.syn_ack_at > certain_until
         }
-        for flow in uncertain.values():
-            flow.opened_before_heartbeat = flow.is_incarnation_unknown = True
+        _mark_uncertain(uncertain.values())
         for key in [key for key in self.by_key if key not in uncertain]:
             self.drop(key, DenialReason.REPLACED)
         self.complete_at = now
         return len(uncertain)
 
+    def keep_uncertain(self) -> int:
+        """Keep all flows when it is not known which incarnation accepted them.
+
+        Returns how many there are.
+        """
+        _mark_uncertain(self.by_key.values())
+        return len(self.by_key)
+
+    def record_complete(self, now: float) -> None:
+        """Record that the agent has seen every flow that its target holds."""
+        self.complete_at = min(self.complete_at, now)
+
     def expect_unknown_flows(self, now: float) -> None:
         """Record that the target may hold flows that the agent does not know."""
         self.complete_at = now + self._max_flow_seconds
@@ -128,3 +141,8 @@
         for key in expired:
             del self.by_key[key]
         return expired
+
+
+def _mark_uncertain(flows: Iterable[TrackedFlow]) -> None:
+    for flow in flows:
+        flow.opened_before_heartbeat = flow.is_incarnation_unknown = True
--- a/ibisshunt/coordination/forwarding/target_tracking/local_target.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/local_target.py
@@ -42,11 +42,16 @@
         self.candidates = Candidates()
         # When the current incarnation was last heard, or the agent's start.
         self.last_heartbeat_at = now
+        # Whether the current incarnation was the only one heard for so long that no
+        # other one can be alive.
+        self.is_established = False
         self.is_paused = False
         self.is_drained = is_drained
         self._log_event = log_event
         self._heartbeat_seconds = heartbeat_seconds
         self._warm_at = now
+        # Since when only the current incarnation is heard.
+        self._only_one_since = now
         # Whether a heartbeat has arrived since the last change of the drained domains.
         self._has_heartbeat_since_drain = True
 
@@ -92,9 +97,14 @@
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Update the state from a heartbeat of the current or a new incarnation."""
+        if self.incarnations.classify(heartbeat) != HeartbeatKind.CURRENT:
+            self.is_established = False
+            self._only_one_since = now
         self.candidates.remove(heartbeat.name)
         self.incarnations.accept(heartbeat)
         self.last_heartbeat_at = now
+        if self._only_one_since <= self._compute_silent_since(now):
+            self.is_established = True
         self._warm_at = now + heartbeat.warmup_left_ms / 1000
         self._has_heartbeat_since_drain = True
         self._set_state(heartbeat, heartbeat.is_draining)
@@ -107,6 +117,7 @@
         candidate that the current one had replaced is most probably late.
         """
         is_new = self.candidates.record(heartbeat, now)
+        self._only_one_since = now
         warm_at = now + heartbeat.warmup_left_ms / 1000
         if self.is_current_silent(now):
             self._warm_at = warm_at
--- a/tests/coordination/forwarding/target_tracking/test_candidates.py
+++ b/tests/coordination/forwarding/target_tracking/test_candidates.py
@@ -6,6 +6,7 @@
 
 from ibisshunt.coordination.forwarding.agent import Agent
 from ibisshunt.coordination.forwarding.messages import Answer, FlowQuery, TargetState
+from ibisshunt.coordination.forwarding.segment import Segment
 from ibisshunt.coordination.forwarding.target_tracking.candidates import (
     MAX_CANDIDATES,
     Candidates,
@@ -330,6 +331,85 @@
     assert candidates.find_newest().heartbeat.name == f"i-{3 * MAX_REPLACED - 1}"
 
 
+def start_agent_beside(world, address, seconds=0.3):
+    """Restart the agent alone: it knows neither its target nor the target's flows."""
+    own = world.agents[address].current_heartbeat
+    world.now += seconds
+    world.agents[address] = world.make_agent()
+    return own
+
+
+@pytest.mark.parametrize("sequence", [1, 7])
+def test_a_late_heartbeat_at_an_agent_that_has_just_started_ends_no_open_flow(sequence):
+    # Guards against the reset of open flows: an agent that has just started hears a
+    # late heartbeat first, and takes its sender for a target that started after it.
+    world, address, ack = make_world()
+    own = start_agent_beside(world, address)
+    agent = world.agents[address]
+    send_other(world, address, LATE, sequence)
+    world.send_statuses()
+    world.wait(0.3)
+    query = FlowQuery(make_key(), ack)
+    for number in range(1, 9):
+        heartbeat = replace(own, sequence=own.sequence + number)
+        agent.handle_heartbeat(heartbeat, world.now)
+        assert agent.answer_query(query, world.now).answer == Answer.MAYBE
+        pass_time(world, HEARTBEAT)
+    assert agent.current_heartbeat.name == own.name
+    world.send(SECOND, data_segment(make_key(), ack, 1017))
+    assert len(world.targets[address].received) == 2
+    assert not world.resets
+
+
+def test_flows_seen_since_the_agents_start_stay_when_the_first_heartbeat_was_late():
+    # Guards against the reset of an open flow that the living target accepted before
+    # the agent knew which incarnation is alive.
+    world, address, _ = make_world()
+    own = start_agent_beside(world, address)
+    agent = world.agents[address]
+    send_other(world, address, LATE, 1)
+    world.send_statuses()
+    _, ack = world.open(FIRST, make_key(40_777))
+    world.send(FIRST, data_segment(make_key(40_777), ack))
+    for number in range(1, 6):
+        heartbeat = replace(own, sequence=own.sequence + number)
+        agent.handle_heartbeat(heartbeat, world.now)
+        pass_time(world, HEARTBEAT)
+    assert agent.current_heartbeat.name == own.name
+    world.send_statuses()
+    world.wait(0.5)
+    assert not world.resets
+    assert make_key(40_777) in agent.flows
+
+
+def test_an_agent_denies_unknown_flows_once_its_target_was_heard_alone():
+    # A target that started after its agent holds no flow that the agent has not seen.
+    # Before, its first heartbeat may have been a late one of another incarnation.
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    query = FlowQuery(make_key(), 8)
+    answers = []
+    for number in range(5):
+        now = 0.1 + number * HEARTBEAT
+        agent.handle_heartbeat(make_heartbeat("i-0", 1 + number), now)
+        answers.append(agent.answer_query(query, now).answer)
+    assert answers == [Answer.MAYBE] * 3 + [Answer.NOT_HELD] * 2
+
+
+def test_flows_of_a_target_that_was_heard_for_a_short_time_are_not_denied():
+    # Guards against the reset of open flows: late heartbeats of two incarnations arrive
+    # at an agent that has just started, and the flows belong to a third one.
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    answer = Segment(make_key(), b"", b"", 7, 1, is_ack=True)
+    agent.handle_heartbeat(make_heartbeat("i-1"), 0.1)
+    agent.handle_target_packet(answer, 0.2)
+    query = FlowQuery(make_key(), 7)
+    for number in range(1, 6):
+        agent.handle_heartbeat(make_heartbeat("i-2", number), number * HEARTBEAT)
+        agent.tick(number * HEARTBEAT)
+        assert agent.answer_query(query, number * HEARTBEAT).answer != Answer.NOT_HELD
+    assert agent.current_heartbeat.name == "i-2"
+
+
 LATE_MESSAGES = st.lists(
     st.tuples(
         st.floats(0, 8),
