Do not report a target as gone on a leave message that may be a late one's

What callers saw: open flows of a living target are reset after a restart of its agent, if late messages of a crashed incarnation, its leave message too, are the first that the agent hears.

Cause: the agent had heard one incarnation, which then left, so it reported that the target was gone. Balancers do not ask the agent of a target that is gone, and reset its flows 0.5 s later; the living one's first heartbeat may come later than that.

Evidence: test_a_late_leave_message_at_an_agent_that_has_just_started_ends_no_open_flow fails without this change with a reset held_by_nobody (without its assertion on the state as well).

The fix: unless the incarnation was established, its leave makes the target ABSENT: it gets no new flow, and its flows are not reset. If nobody else is heard for 2.6 intervals, or the agent stops, it is gone, and idle flows are reset.

Why it works: a living target is heard within that time.

What is slower: the idle flows of a target that leaves within 2.3 s of its agent's start are reset 2 s later.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -136,7 +136,8 @@
         self._log_event("target_left", target=name, flows=len(self.flows))
         successor = self.target.candidates.find_newest()
         if successor is None:
-            self._drop_flows()
+            if self.state == TargetState.GONE:
+                self._drop_flows()
             return True
         # The candidate may have accepted flows before this message arrived.
         heard_at = successor.last_heard_at
@@ -185,7 +186,7 @@
         return True
 
     def tick(self, now: float) -> bool:
-        """Run periodic work; return whether the target has just become absent."""
+        """Run periodic work; return whether the target is now absent, or gone."""
         self.request_tracker.expire(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRY_INTERVAL_SECONDS
@@ -194,6 +195,10 @@
                 self.request_tracker.remove_flow(key)
         for candidate in self.target.remove_silent_candidates(now):
             self._log_kept(candidate.heartbeat.name, "candidate_silent")
+        if self.target.detect_departure(now):
+            self._log_event("target_dead", service=self.service)
+            self._drop_flows()
+            return True
         if not self.target.detect_absence(now):
             return False
         flows = len(self.flows)
--- a/ibisshunt/coordination/forwarding/target_tracking/incarnations.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/incarnations.py
@@ -69,7 +69,7 @@
     def __init__(self) -> None:
         self.current: Heartbeat | None = None
         self.incarnation_id = NO_INCARNATION
-        self._has_current_ended = False
+        self.has_current_ended = False
         self._ended: dict[str, int | None] = {}
         # The last heartbeats of the replaced incarnations.
         self._replaced: dict[str, Heartbeat] = {}
@@ -81,7 +81,7 @@
             return HeartbeatKind.STALE
         if current is None:
             return HeartbeatKind.FIRST
-        if self._has_current_ended:
+        if self.has_current_ended:
             return HeartbeatKind.NEW_INCARNATION
         if current.name != heartbeat.name:
             return HeartbeatKind.CANDIDATE
@@ -115,7 +115,7 @@
         if kind in _NEW_CURRENT_KINDS:
             self.incarnation_id = _compute_id(heartbeat)
         self._replaced.pop(heartbeat.name, None)
-        self._has_current_ended = False
+        self.has_current_ended = False
         self.current = heartbeat
 
     def record_leave(self, name: str, start_time_ms: int | None) -> bool:
@@ -136,7 +136,7 @@
         self._record_end(
             name, current.start_time_ms if start_time_ms is None else start_time_ms
         )
-        self._has_current_ended = True
+        self.has_current_ended = True
         return True
 
     def was_replaced(self, name: str) -> bool:
--- a/ibisshunt/coordination/forwarding/target_tracking/local_target.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/local_target.py
@@ -152,10 +152,25 @@
             )
 
     def handle_leave(self, name: str, start_time_ms: int | None) -> bool:
-        """Handle a leave message; return whether the current target has left."""
+        """Handle a leave message; return whether the current target has left.
+
+        Unless it was established, another one may be alive that was not heard yet.
+        """
         if not self.incarnations.record_leave(name, start_time_ms):
             self.candidates.remove(name)
             return False
+        self.state = TargetState.GONE if self.is_established else TargetState.ABSENT
+        return True
+
+    def detect_departure(self, now: float) -> bool:
+        """Set the state to GONE if no other target was heard after a leave message.
+
+        Return whether it changed.
+        """
+        if self.state != TargetState.ABSENT or not self.incarnations.has_current_ended:
+            return False
+        if not self.has_missed_heartbeats(now):
+            return False
         self.state = TargetState.GONE
         return True
 
@@ -176,7 +191,10 @@
         over before they reset those flows.
         """
         self.is_paused = True
-        if self.state != TargetState.ABSENT or not self.has_missed_heartbeats(now):
+        has_ended = self.incarnations.has_current_ended or self.has_missed_heartbeats(
+            now
+        )
+        if self.state != TargetState.ABSENT or not has_ended:
             return False
         self.state = TargetState.GONE
         return True
--- a/tests/coordination/forwarding/target_tracking/test_candidates.py
+++ b/tests/coordination/forwarding/target_tracking/test_candidates.py
@@ -410,6 +410,52 @@
     assert agent.current_heartbeat.name == "i-2"
 
 
+def test_a_late_leave_message_at_an_agent_that_has_just_started_ends_no_open_flow():
+    # Guards against the reset of open flows: an agent that has just started hears late
+    # messages of another incarnation, its leave message too, before the living one.
+    world, address, ack = make_world()
+    own = start_agent_beside(world, address)
+    agent = world.agents[address]
+    send_other(world, address, LATE)
+    assert agent.handle_leave(LATE)
+    assert agent.state == TargetState.ABSENT
+    world.send_statuses()
+    pass_time(world, 0.9 * HEARTBEAT)
+    agent.handle_heartbeat(replace(own, sequence=own.sequence + 1), world.now)
+    assert agent.state == TargetState.OPEN
+    world.send_statuses()
+    pass_time(world, HEARTBEAT)
+    query = FlowQuery(make_key(), ack)
+    assert agent.answer_query(query, world.now).answer == Answer.MAYBE
+    assert not world.resets
+
+
+def test_a_target_that_leaves_soon_after_its_agents_start_is_gone_once_it_is_silent():
+    # Guards against idle flows at a target that has left: their callers would send
+    # requests that nobody answers.
+    world, address, _ = make_world()
+    own = start_agent_beside(world, address)
+    agent = world.agents[address]
+    agent.handle_heartbeat(replace(own, sequence=own.sequence + 1), world.now)
+    assert agent.handle_leave(own.name)
+    world.send(FIRST, syn_segment(make_key(40_777)))
+    assert make_key(40_777) not in world.targets[address].flows
+    pass_time(world, MISSED_HEARTBEAT_INTERVALS * HEARTBEAT + 0.1)
+    assert agent.state == TargetState.GONE
+    pass_time(world, 1.0)
+    assert make_key() in {reset.segment.key for reset in world.resets}
+
+
+def test_an_agent_that_stops_after_its_target_has_left_reports_it_as_gone():
+    # Guards against a host that stays in the directory after it was taken away: agent
+    # and target had run for a short time only.
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    agent.handle_heartbeat(make_heartbeat("i-0"), 0.1)
+    agent.handle_leave("i-0")
+    agent.pause(0.2)
+    assert agent.state == TargetState.GONE
+
+
 LATE_MESSAGES = st.lists(
     st.tuples(
         st.floats(0, 8),
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -135,6 +135,8 @@
 
 def test_a_leave_message_may_have_no_body(agent):
     task, handle = agent
+    # As after some seconds of heartbeats.
+    task.agent.target.is_established = True
     assert send(handle, b"", LEAVE_PATH) == "200"
     assert task.agent.state == TargetState.GONE
 
