Do not overwrite the start id of the agent that asks for its flows

What callers would see: packets of open flows that an agent does not accept after its second restart, because its peers answered that its target is new and cannot have flows.

Cause: in _handle_recall the loop over batches of keys used the name of the start id, so an agent that has reported flows was classified by the offset of the last batch. Two runs of one agent looked like one.

Why it works: the start id differs between two runs, so the second one is KNOWN.

--- a/ibisshunt/coordination/flows/notices.py
+++ b/ibisshunt/coordination/flows/notices.py
@@ -203,15 +203,15 @@
     message = read_recall(payload).value_or(None)
     if message is None:
         return "malformed"
-    instance_id, start = message
+    instance_id, start_id = message
     keys = state.pointers.list_keys(instance_id)
     number, revision = state.table.number, state.table.revision
     pointer_header = Header(DatagramKind.POINTER, 0, number, revision, header.origin)
-    for start in range(0, len(keys), MAX_KEYS):
-        batch = tuple(keys[start : start + MAX_KEYS])
+    for offset in range(0, len(keys), MAX_KEYS):
+        batch = tuple(keys[offset : offset + MAX_KEYS])
         pointers = PointerList(state.incarnation, instance_id, header.reply_to, batch)
         state.send_to(header.reply_to, pack_pointers(pointer_header, pointers))
-    status = state.instance_history.classify(instance_id, header.origin, start)
+    status = state.instance_history.classify(instance_id, header.origin, start_id)
     end_header = replace(pointer_header, origin=state.incarnation)
     state.send_to(header.reply_to, pack_recalled(end_header, len(keys), status))
     return ""
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -169,6 +169,25 @@
     assert history.classify(hash_instance(new), 2, 61) == InstanceStatus.KNOWN
 
 
+def test_an_agent_that_restarts_again_is_not_taken_for_its_previous_run():
+    """Guards against packets of open flows that a restarted agent does not accept.
+
+    Its peers took it for its previous run, because they also reported flows to it, and
+    answered that its target is new and cannot have flows.
+    """
+    world = World(targets=3)
+    world.lose_notices = True
+    world.add("t4")
+    world.publish()
+    world.lose_notices = False
+    owners = {port: world.open(port) for port in PORTS}
+    assert "t4" in owners.values()
+    for _ in range(2):
+        world.restart_agent("t4", same_incarnation=True)
+        world.publish()
+    assert not world.find_agent("t4").state.recall.is_new_instance()
+
+
 def test_a_syn_is_accepted_once_while_tables_differ():
     """The balancer knows a new target; that target's own agent does not yet.
 
