Do not reset recovered flows on an incarnation that may be a late one

What callers saw: open flows of a living target are reset when its agent and a balancer restart together, as in a roll of both, and a late heartbeat of a crashed incarnation is the first that the agent hears.

Cause: a restarted balancer resets the checkpointed flows of a target, without asking its agent, as soon as a status names another incarnation than the entry. An agent that has just started names the first incarnation that it hears.

The fix: a status says whether its incarnation is confirmed: no other one was heard for 1.3 intervals, counted from the agent's start, within which a living target is heard. Entries of the same incarnation are resolved at once, as before; those of another one wait until it is confirmed, and the agent sends a status as soon as it is. A status of an earlier build lacks the field and counts as confirmed. Silence since the agent's start counts for "established" too, so a target that starts long after its agent is established at once.

Tried first: to wait for "established" (2.6 intervals). So idle flows that ended with the power are reset a little later than before.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -78,6 +78,7 @@
         # Whether the first heartbeat received was also the first one of its sender. It
         # may have been a late one, so it counts only once its sender is established.
         self._has_target_started_later = False
+        self._is_confirmed = False
         # Heartbeats of incarnations that contradicted the current one.
         self.contested_heartbeats = 0
         self._service_tag = compute_service_tag(service)
@@ -186,7 +187,7 @@
         return True
 
     def tick(self, now: float) -> bool:
-        """Run periodic work; return whether the target is now absent, or gone."""
+        """Run periodic work; return whether balancers should get a status at once."""
         self.request_tracker.expire(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRY_INTERVAL_SECONDS
@@ -200,11 +201,17 @@
             self._drop_flows()
             return True
         if not self.target.detect_absence(now):
-            return False
+            return self._detect_confirmation(now)
         flows = len(self.flows)
         self._log_event("target_silent", service=self.service, flows=flows)
         return True
 
+    def _detect_confirmation(self, now: float) -> bool:
+        """Return whether the current incarnation has just been confirmed."""
+        was_confirmed = self._is_confirmed
+        self._is_confirmed = self.target.is_confirmed(now)
+        return self._is_confirmed and not was_confirmed
+
     # Packets from callers.
 
     def handle_packet(
--- a/ibisshunt/coordination/forwarding/messages.py
+++ b/ibisshunt/coordination/forwarding/messages.py
@@ -81,7 +81,8 @@
     rest of the target's warm-up when the status was sent; ``configuration_version``
     that of the agent; ``failure_percent`` how many of the latest requests failed.
     ``incarnation`` is the id of the target's incarnation, 0 while the agent has
-    received no heartbeat.
+    received no heartbeat. Unless it ``is_confirmed``, another incarnation may be
+    alive that the agent has not heard yet.
     """
 
     agent_start_ms: NonNegative
@@ -96,6 +97,7 @@
     configuration_version: NonNegative
     failure_percent: NonNegative = 0
     incarnation: NonNegative = 0
+    is_confirmed: bool = True
 
 
 class Deliver(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/ibisshunt/coordination/forwarding/placement/target_table.py
+++ b/ibisshunt/coordination/forwarding/placement/target_table.py
@@ -129,9 +129,15 @@
         self._by_service = index
 
 
-def _get_identity(status: Status) -> tuple[int, int, str, int]:
+def _get_identity(status: Status) -> tuple[int, int, str, int, bool]:
     """Return the fields that do not change while an agent and its target run on."""
-    return status.agent_start_ms, status.state, status.service, status.incarnation
+    return (
+        status.agent_start_ms,
+        status.state,
+        status.service,
+        status.incarnation,
+        status.is_confirmed,
+    )
 
 
 def _is_outdated(status: Status, target: Target, now: float) -> bool:
--- a/ibisshunt/coordination/forwarding/recovery/checkpoint.py
+++ b/ibisshunt/coordination/forwarding/recovery/checkpoint.py
@@ -141,12 +141,21 @@
         ENDED means that the target has none. The entries of other incarnations have
         ended.
         """
-        still_open: list[FlowEntry] = []
-        for entry in self._unresolved.pop(address, {}).values():
-            if entry.incarnation == incarnation:
-                still_open.append(entry)
-            else:
-                self.ended.append(entry)
+        still_open = self.resolve_open(address, incarnation)
+        self.ended.extend(self._unresolved.pop(address, {}).values())
+        return still_open
+
+    def resolve_open(self, address: str, incarnation: int) -> list[FlowEntry]:
+        """Resolve the open flows of an incarnation and return them.
+
+        The entries of other incarnations stay, as one of them may be alive.
+        """
+        unresolved = self._unresolved.get(address, {})
+        still_open = [
+            entry for entry in unresolved.values() if entry.incarnation == incarnation
+        ]
+        for entry in still_open:
+            del unresolved[entry.key]
         return still_open
 
     def pop_ended(self, limit: int) -> list[FlowEntry]:
--- a/ibisshunt/coordination/forwarding/recovery/stale_flows.py
+++ b/ibisshunt/coordination/forwarding/recovery/stale_flows.py
@@ -72,7 +72,8 @@
         """Add flows of the previous run; those whose target has ended will be reset.
 
         The incarnation of a flow's target shows whether it still holds the flow. The
-        entry waits until the target's agent has received a heartbeat.
+        entry waits until the target's agent has received a heartbeat, and until that
+        incarnation is confirmed if it is another one.
         """
         for entry in entries:
             self.recovered.add(entry, now)
@@ -88,7 +89,10 @@
         if not is_gone and not target.status.incarnation:
             return
         current = ENDED if is_gone else target.status.incarnation
-        for entry in self.recovered.resolve(address, current):
+        resolve = self.recovered.resolve
+        if not is_gone and not target.status.is_confirmed:
+            resolve = self.recovered.resolve_open
+        for entry in resolve(address, current):
             if not self.searches.is_running(entry.key):
                 self.state.record_reported_flow(entry.key, target, now)
 
--- a/ibisshunt/coordination/forwarding/target_tracking/local_target.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/local_target.py
@@ -12,6 +12,8 @@
 # How late a heartbeat may arrive, in heartbeat intervals: one that takes longer counts
 # as lost, and its sender has sent the next one.
 LATE_HEARTBEAT_INTERVALS = 1.0
+# Heartbeat intervals within which a living target is heard for the first time.
+FIRST_HEARTBEAT_INTERVALS = 1.3
 # Heartbeat intervals for which a candidate was heard before it may replace a silent
 # incarnation: one heartbeat proves nothing, and late ones arrive together.
 CONFIRMATION_INTERVALS = 0.5
@@ -50,7 +52,7 @@
         self._log_event = log_event
         self._heartbeat_seconds = heartbeat_seconds
         self._warm_at = now
-        # Since when only the current incarnation is heard.
+        # Since when no other incarnation than the current one was heard.
         self._only_one_since = now
         # Whether a heartbeat has arrived since the last change of the drained domains.
         self._has_heartbeat_since_drain = True
@@ -97,7 +99,8 @@
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Update the state from a heartbeat of the current or a new incarnation."""
-        if self.incarnations.classify(heartbeat) != HeartbeatKind.CURRENT:
+        kind = self.incarnations.classify(heartbeat)
+        if kind not in (HeartbeatKind.FIRST, HeartbeatKind.CURRENT):
             self.is_established = False
             self._only_one_since = now
         self.candidates.remove(heartbeat.name)
@@ -209,6 +212,12 @@
             self.last_heartbeat_at - LATE_HEARTBEAT_INTERVALS * self._heartbeat_seconds
         )
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether another living incarnation would have been heard by now."""
+        heard_alone_seconds = now - self._only_one_since
+        limit = FIRST_HEARTBEAT_INTERVALS * self._heartbeat_seconds
+        return self.is_established or heard_alone_seconds >= limit
+
     def has_missed_heartbeats(self, now: float) -> bool:
         """Return whether heartbeats are missing, also since the agent's start.
 
--- a/ibisshunt/coordination/forwarding/target_tracking/status_reporter.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/status_reporter.py
@@ -47,6 +47,7 @@
             configuration_version,
             round(100 * self._requests.estimate_failure_share(now)),
             self._target.incarnations.incarnation_id,
+            self._target.is_confirmed(now),
         )
 
     def list_opened_before_heartbeat(self, address: str) -> list[FlowLocations]:
--- a/tests/coordination/forwarding/target_tracking/test_candidates.py
+++ b/tests/coordination/forwarding/target_tracking/test_candidates.py
@@ -456,6 +456,35 @@
     assert agent.state == TargetState.GONE
 
 
+def test_a_started_agent_confirms_its_target_when_no_other_one_can_be_alive():
+    # Guards against resets of open flows on the word of an agent that has just started,
+    # and against resets that come late after a loss of power.
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    agent.handle_heartbeat(make_heartbeat("i-0"), 0.3)
+    assert not agent.make_status(0.3).is_confirmed
+    assert not agent.tick(1.0)
+    assert agent.tick(1.4)
+    assert agent.make_status(1.4).is_confirmed
+    assert not agent.tick(1.5)
+
+
+def test_an_incarnation_is_not_confirmed_while_another_one_is_heard():
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    agent.handle_heartbeat(make_heartbeat(LATE), 0.3)
+    for number in range(1, 3):
+        agent.handle_heartbeat(make_heartbeat("i-0", number), number * HEARTBEAT)
+        assert not agent.tick(number * HEARTBEAT + 0.5)
+        assert not agent.make_status(number * HEARTBEAT + 0.5).is_confirmed
+
+
+def test_a_target_that_starts_long_after_its_agent_is_established_at_once():
+    # The agent has heard nobody for long, so no other incarnation is alive.
+    agent = Agent(SERVICE, 0, HEARTBEAT, 0.0)
+    agent.handle_heartbeat(make_heartbeat("i-0"), 5.0)
+    assert agent.make_status(5.0).is_confirmed
+    assert agent.answer_query(FlowQuery(make_key(), 8), 5.0).answer == Answer.NOT_HELD
+
+
 LATE_MESSAGES = st.lists(
     st.tuples(
         st.floats(0, 8),
