Let the targets of the example be heard for three seconds before its start

An agent no longer denies flows on the first heartbeat that it hears, so the example, whose agents had heard one, waited for a reset for ever. Its agents have now heard their targets since three seconds before; what its test asserts is unchanged.

--- a/examples/silent_host.py
+++ b/examples/silent_host.py
@@ -40,10 +40,10 @@
         self.agents: dict[str, Agent] = {}
         self.is_caller_reset = False
         for number in range(3):
-            agent = Agent("booking", 1, 1.0, 0.0)
-            agent.handle_heartbeat(
-                Heartbeat(f"i-{number}", "booking", 1, False, 0, 1), 0.0
-            )
+            agent = Agent("booking", 1, 1.0, -3.0)
+            for sequence in range(1, 5):
+                heartbeat = Heartbeat(f"i-{number}", "booking", 1, False, 0, sequence)
+                agent.handle_heartbeat(heartbeat, sequence - 4.0)
             self.agents[f"10.0.2.{number}"] = agent
 
     def send_statuses(self, now: float) -> None:
