Let the race model deliver late heartbeats of targets that were never heard

Its late heartbeats were always of an incarnation that the agent had heard, so the model could not show the fault. With unheard_starts a target starts and crashes in the gap between two others, and all of its heartbeats arrive 0.5-4 s late.

--- a/tests/coordination/forwarding/test_races.py
+++ b/tests/coordination/forwarding/test_races.py
@@ -71,3 +71,14 @@
     world = run_crash_waves(seed, 5.0, callers=callers, late_heartbeats=0.3)
     assert len(world.connections) > 200
     assert not world.broken, describe(world)
+
+
+@pytest.mark.parametrize(("seed", "callers"), [(5, 60), (17, 120)])
+def test_no_open_flow_is_reset_when_heartbeats_of_unheard_targets_come_late(
+    seed, callers
+):
+    # Guards against the reset of open flows: a target crashed before its agent heard
+    # it, and its heartbeats arrive while its successor is alive.
+    world = run_crash_waves(seed, 8.0, callers=callers, unheard_starts=0.5)
+    assert len(world.connections) > 200
+    assert not world.broken, describe(world)
--- a/tests/races/target.py
+++ b/tests/races/target.py
@@ -13,16 +13,21 @@
     LATE_HEARTBEAT_SECONDS,
     MAX_QUEUE,
     SERVICE_SECONDS,
+    UNHEARD_SECONDS,
 )
 
 ANSWER = (b"HTTP/1.1 200 OK\r\n\r\n" + bytes(980), bytes(1000))
 
 
 class Target:
-    """Target that holds flows, serves one request at a time, and may crash."""
+    """Target that holds flows, serves one request at a time, and may crash.
 
-    def __init__(self, world, address, name):
+    Its heartbeats arrive seconds late if it ``is_unheard``, each on its own connection.
+    """
+
+    def __init__(self, world, address, name, is_unheard=False):
         self.world, self.address, self.name = world, address, name
+        self.is_unheard = is_unheard
         self.agent = world.agents[address]
         # The next sequence number to send in each open flow, by key.
         self.next_sequences = {}
@@ -86,6 +91,8 @@
         self.agent.receive_from_target(segment)
 
     def _draw_heartbeat_delay(self):
+        if self.is_unheard:
+            return self.world.random.uniform(*UNHEARD_SECONDS)
         late_share = self.world.late_heartbeats
         if late_share and self.world.random.random() < late_share:
             return self.world.random.uniform(0, LATE_HEARTBEAT_SECONDS)
--- a/tests/races/timing.py
+++ b/tests/races/timing.py
@@ -5,6 +5,8 @@
 FIRST_HEARTBEAT_SECONDS = 0.02
 # Delay of a heartbeat, and longest delay of one that arrives late.
 HEARTBEAT_DELAY_SECONDS, LATE_HEARTBEAT_SECONDS = 0.0005, 1.5
+# Shortest and longest delay of the heartbeats of a target whose link was cut.
+UNHEARD_SECONDS = (0.5, 4.0)
 # One-way delays within a failure domain, between domains and to a caller.
 SAME_DOMAIN_SECONDS, CROSS_DOMAIN_SECONDS, CALLER_SECONDS = 0.0002, 0.0014, 0.001
 # One-way delay between an agent and its target.
--- a/tests/races/world.py
+++ b/tests/races/world.py
@@ -36,8 +36,9 @@
     """Simulation that records violations of its rule: no open flow is reset.
 
     ``loss`` is the share of messages that are lost, ``late_heartbeats`` the share of
-    heartbeats that are late. ``broken`` lists the resets of open flows, ``traces`` the
-    events of each flow.
+    heartbeats that are late. ``unheard_starts`` is the share of crashes after which a
+    target starts and crashes whose heartbeats all arrive late. ``broken`` lists the
+    resets of open flows, ``traces`` the events of each flow.
     """
 
     def __init__(
@@ -49,10 +50,12 @@
         loss=0.0,
         domains=4,
         late_heartbeats=0.0,
+        unheard_starts=0.0,
     ):
         self.random = random.Random(seed)
         self.now = 0.0
         self.loss, self.late_heartbeats = loss, late_heartbeats
+        self.unheard_starts = unheard_starts
         # Factor on the pauses of callers.
         self.pause_factor = 1.0
         self.segments, self.connections = {}, {}
@@ -91,10 +94,11 @@
         self._sequence += SEQUENCE_STEP
         return self._sequence
 
-    def start_target(self, address):
+    def start_target(self, address, is_unheard=False):
         """Start a target without flows; it replaces the previous one at the address."""
         self._started_targets += 1
-        self.targets[address] = Target(self, address, f"i-{self._started_targets}")
+        name = f"i-{self._started_targets}"
+        self.targets[address] = Target(self, address, name, is_unheard)
 
     def add_balancer(self):
         """Add a balancer; flows whose hash now selects it move to it."""
@@ -116,9 +120,17 @@
     def crash_target(self, address, seconds):
         """Crash a target; start another one at its address later."""
         target = self.targets[address]
-        if target.is_running:
-            target.crash()
-            self.call_later(seconds, self.start_target, address)
+        if not target.is_running:
+            return
+        target.crash()
+        if self.unheard_starts and self.random.random() < self.unheard_starts:
+            self.call_later(0.2 * seconds, self.start_target, address, True)
+            self.call_later(0.9 * seconds, self.crash_unheard, address)
+        self.call_later(seconds, self.start_target, address)
+
+    def crash_unheard(self, address):
+        """Crash a target whose heartbeats have not arrived."""
+        self.targets[address].crash()
 
     def trace(self, key, *event):
         """Record an event of a flow."""
