Do not deny flows again after a replaced incarnation was heard

The start of a target after its agent was applied again at each heartbeat, so the flow table counted as complete at the next heartbeat of the incarnation that had replaced the one that is heard again: flows of the latter that the agent had dropped were denied. It is now applied once. The test of a target that comes back plays this too (the one that replaced it was established and is heard once more) and fails without the change.

Names: a candidate may_replace_current; 'confirmed' is said of the current one alone.

--- a/ibisshunt/coordination/forwarding/agent.py
+++ b/ibisshunt/coordination/forwarding/agent.py
@@ -124,6 +124,7 @@
         if self._has_target_started_later and self.target.is_established:
             # The agent has seen all flows of its target.
             self.flow_table.record_complete(now)
+            self._has_target_started_later = False
         self.request_tracker.slots = max(1, heartbeat.slots)
         return kind
 
@@ -400,6 +401,7 @@
         if self.target.incarnations.was_replaced(heartbeat.name):
             # It may not have ended when it was replaced, and hold flows that this agent
             # has dropped.
+            self._has_target_started_later = False
             self.flow_table.expect_unknown_flows(now)
         current, is_silent = self.current_heartbeat, self.target.is_current_silent(now)
         if not self.target.handle_candidate(heartbeat, now):
--- a/ibisshunt/coordination/forwarding/target_tracking/local_target.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/local_target.py
@@ -16,7 +16,7 @@
 FIRST_HEARTBEAT_INTERVALS = 1.3
 # Heartbeat intervals for which a candidate was heard before it may replace a silent
 # incarnation: one heartbeat proves nothing, and late ones arrive together.
-CONFIRMATION_INTERVALS = 0.5
+CANDIDATE_INTERVALS = 0.5
 
 
 class LocalTarget:
@@ -93,7 +93,7 @@
             return kind
         if self.candidates.is_overtaken(heartbeat):
             return HeartbeatKind.STALE
-        if self._is_confirmed(heartbeat.name, now):
+        if self._may_replace_current(heartbeat.name, now):
             return HeartbeatKind.NEW_INCARNATION
         return HeartbeatKind.CANDIDATE
 
@@ -133,13 +133,13 @@
         self._set_state(heartbeat, was_draining or heartbeat.is_draining)
         return is_new
 
-    def _is_confirmed(self, name: str, now: float) -> bool:
-        """Return whether a candidate replaces the current incarnation."""
+    def _may_replace_current(self, name: str, now: float) -> bool:
+        """Return whether a candidate may replace the current incarnation."""
         candidate = self.candidates.find(name)
         if candidate is None or not self.is_current_silent(now):
             return False
         heard_seconds = now - candidate.first_heard_at
-        return heard_seconds >= CONFIRMATION_INTERVALS * self._heartbeat_seconds
+        return heard_seconds >= CANDIDATE_INTERVALS * self._heartbeat_seconds
 
     def _set_state(self, heartbeat: Heartbeat, is_draining: bool) -> None:
         previous_state = self.state
--- a/tests/coordination/forwarding/target_tracking/test_candidates.py
+++ b/tests/coordination/forwarding/target_tracking/test_candidates.py
@@ -214,20 +214,28 @@
     )
 
 
-def test_an_incarnation_that_was_replaced_without_proof_may_come_back():
+@pytest.mark.parametrize("late_count", [0, 4])
+def test_an_incarnation_that_was_replaced_without_proof_may_come_back(late_count):
     # Guards against a living target that is ignored for good, and against the denial of
     # its flows: it was silent, and late heartbeats replaced it.
     world, address, _ = make_world()
     agent = world.agents[address]
     own = agent.current_heartbeat
     world.replace_target(address, LATE)
+    for sequence in range(3, 3 + late_count):
+        pass_time(world, HEARTBEAT)
+        send_other(world, address, LATE, sequence)
     assert agent.flow_table.is_complete(world.now)
     kinds = []
-    for number in range(1, 6):
+    for number in range(1, 9):
         heartbeat = replace(own, sequence=own.sequence + number)
         kinds.append(agent.handle_heartbeat(heartbeat, world.now))
         assert not agent.flow_table.is_complete(world.now)
+        if number == 1:
+            send_other(world, address, LATE, 9)
+            assert not agent.flow_table.is_complete(world.now)
         pass_time(world, HEARTBEAT)
+    assert agent.target.is_established
     assert HeartbeatKind.STALE not in kinds
     assert agent.current_heartbeat.name == own.name
     assert agent.state == TargetState.OPEN
