Play late heartbeats of a target that was never heard with real processes

Late heartbeats while the next target serves, and as the first ones that a restarted agent hears while a balancer recovers its flows.

--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -251,6 +251,50 @@
     assert find_holder(system, BALANCER_IPS[1], 40_001, syn_ack) == holder
 
 
+def send_late_heartbeat(ip, sequence):
+    """Send the heartbeat of a target that crashed before its agent heard it."""
+    body = {
+        "Service": SERVICE,
+        "Address": f"{ip}:{APP_PORT}",
+        "Zone": "a",
+        "Version": "v1",
+        "Slots": 4,
+        "State": "ready",
+        "WarmupLeftMs": 0,
+        "Seq": sequence,
+    }
+    return call(f"{ip}:{CONTROL_PORT}", "/-/instances/i-late/heartbeat", body)[0]
+
+
+def test_flows_go_on_after_late_heartbeats_of_a_target_that_was_never_heard(system):
+    # Guards against the reset of open flows by heartbeats that arrive after their
+    # sender has crashed: while the next target serves, and as the first ones that the
+    # restarted agent hears, while a balancer recovers its flows.
+    system.put_configuration()
+    system.wait_until_ready()
+    system.wait_until_known()
+    syn_ack = wait_for(lambda: system.client.open(BALANCER_IPS[0], 40_001), "a flow")
+    holder = find_holder(system, BALANCER_IPS[0], 40_001, syn_ack)
+    number = [endpoint.name for endpoint in system.endpoints].index(holder)
+    ip, agent = AGENT_IPS[number], system.agents[number]
+    for sequence in (1, 7):
+        assert send_late_heartbeat(ip, sequence) == 200
+    wait_for(lambda: "target_contested" in agent.read_log(), "a contested target")
+    for balancer in BALANCER_IPS:
+        assert find_holder(system, balancer, 40_001, syn_ack) == holder
+
+    agent.send_signal(signal.SIGTERM)
+    assert agent.process.wait(timeout=20) == 0
+    system.balancers[0].send_signal(signal.SIGKILL)
+    system.balancers[0].wait_for_exit()
+    agent.start()
+    wait_for(lambda: send_late_heartbeat(ip, 1) == 200, "the restarted agent")
+    system.balancers[0].start()
+    system.wait_until_ready()
+    for balancer in BALANCER_IPS:
+        assert find_holder(system, balancer, 40_001, syn_ack) == holder
+
+
 def open_flows(system, first_port, count=12):
     """Open flows through both balancers; return how many each target got."""
     before = [len(endpoint.flows) for endpoint in system.endpoints]
