--- a/tests/coordination/forwarding/target_tracking/test_lives.py
+++ b/tests/coordination/forwarding/target_tracking/test_lives.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from hypothesis import given, strategies as st
+from hypothesis import example, given, strategies as st
 
 from ibisshunt.coordination.forwarding.agent import Agent
 from ibisshunt.coordination.forwarding.messages import (
@@ -131,6 +131,16 @@
 )
 
 
+# Two targets crash unheard; their heartbeats arrive while the third one serves.
+TWO_UNHEARD = [
+    (1, 1, False, False, 1),
+    (1, 25, True, False, 17),
+    (1, 9, True, False, 18),
+    (1, 17, False, False, 1),
+]
+
+
+@example(TWO_UNHEARD, set())
 @given(LIVES, st.sets(st.integers(2, 80), max_size=2))
 def test_no_message_of_an_ended_target_denies_flows_of_the_living_one(drawn, restarts):
     # Guards against the reset of open flows, whatever heartbeats and leave messages of
