--- a/tests/coordination/forwarding/recovery/test_checkpoint.py
+++ b/tests/coordination/forwarding/recovery/test_checkpoint.py
@@ -1,10 +1,15 @@
 """Flows of a previous run: checkpointed, stored, and resolved after a start."""
 
+import msgspec
 from hypothesis import given, strategies as st
 from msgspec.structs import replace
 
 from ibisshunt.coordination.forwarding.balancer import Balancer
-from ibisshunt.coordination.forwarding.messages import FLOWS_PER_MESSAGE, FlowLocations
+from ibisshunt.coordination.forwarding.messages import (
+    FLOWS_PER_MESSAGE,
+    FlowLocations,
+    Status,
+)
 from ibisshunt.coordination.forwarding.recovery.archive import (
     GENERATION_SECONDS,
     GENERATIONS,
@@ -120,6 +125,18 @@
     assert set(world.balancers[BALANCER].flows) == set(holders)
 
 
+def test_a_status_of_an_earlier_build_counts_as_confirmed():
+    # Guards against recovered flows that are never reset while agents of the previous
+    # build run beside this balancer.
+    world = World(targets=1)
+    (agent,) = world.agents.values()
+    encoded = msgspec.msgpack.encode(agent.make_status(world.now))
+    *fields, is_confirmed = msgspec.msgpack.decode(encoded)
+    assert isinstance(is_confirmed, bool)
+    earlier = msgspec.msgpack.encode(fields)
+    assert msgspec.msgpack.decode(earlier, type=Status).is_confirmed
+
+
 def test_a_reset_carries_the_acknowledgement_of_the_caller():
     # A caller accepts a reset only near its last acknowledgement.
     world = World(targets=1)
