--- a/ibisshunt/coordination/forwarding/target_tracking/tracked_flow.py
+++ b/ibisshunt/coordination/forwarding/target_tracking/tracked_flow.py
@@ -27,10 +27,9 @@
     the balancer at the address ``balancer``. ``syn_ack_at`` is when the target answered
     the SYN, ``syn_sequence`` the sequence number of the last SYN that was delivered and
     ``accepted_syn_sequence`` that of the SYN whose SYN-ACK the caller accepted.
-    ``opened_before_heartbeat`` tells that the flow opened between the last heartbeat of
-    one incarnation of the target and the first heartbeat of the next one;
-    ``is_incarnation_unknown`` tells that the target has sent nothing since, so either
-    incarnation may have accepted it.
+    ``opened_before_heartbeat`` tells that the flow may have opened before the first
+    heartbeat of the target's current incarnation; ``is_incarnation_unknown`` tells that
+    the target has sent nothing since, so either incarnation may have accepted it.
     """
 
     sent_from: int | None
