--- a/review/flows_2.py
+++ b/review/flows_2.py
@@ -85,7 +85,7 @@
     """One incarnation of an endpoint beside an agent.
 
     ``work_seconds`` is how long a request takes; ``first_sequence`` the ``Seq`` of its
-    first heartbeat.
+    first heartbeat, which it sends ``first_delay`` seconds after its start.
     """
 
     def __init__(
@@ -98,6 +98,7 @@
         name: str,
         work_seconds: float = 0.015,
         first_sequence: int = 1,
+        first_delay: float = 0.0,
     ) -> None:
         self.ip, self.zone, self.service, self.name = ip, zone, service, name
         self.work_seconds = work_seconds
@@ -107,6 +108,7 @@
         self.acknowledged: list[tuple[float, int, str]] = []
         self._record, self._ports = record, ports
         self._sequence = first_sequence
+        self._first_delay = first_delay
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._free_at = 0.0
@@ -124,6 +126,7 @@
         self._record.write(f"endpoint {self.name} has ended")
 
     def _beat(self) -> None:
+        self._stopping.wait(self._first_delay)
         while not self._stopping.is_set():
             started_at = time.monotonic()
             body = {
