--- a/review/flows_2.py
+++ b/review/flows_2.py
@@ -17,7 +17,8 @@
 HEAD = struct.Struct(">BH2s4s2s4s4sIII")
 SYN, ACK, FIN, RST, BOUNCED = 64, 4, 128, 8, 2
 SPACE = 1 << 32
-MAX_DATA = 1200
+# How far from a client's last ack the seq of a reset of an open flow may be.
+RESET_SPAN = 76_800
 
 
 @dataclass(frozen=True)
@@ -77,7 +78,7 @@
     next_sequence: int
     expected: int
     is_open: bool = False
-    unanswered: bytes = b""
+    opened_at: float = 0.0
     last_answer: list[bytes] = field(default_factory=list)
 
 
@@ -175,7 +176,9 @@
         if flow is None or not self._belongs(packet, flow):
             self._record.write(f"{self.name} bounces a packet of {packet.source}")
             return [bytes((raw[0] | BOUNCED,)) + raw[1:]]
-        flow.is_open = True
+        if not flow.is_open:
+            # The endpoint has the end of the handshake.
+            flow.is_open, flow.opened_at = True, time.monotonic()
         if packet.flags & RST:
             del self.flows[packet.source]
             return []
@@ -321,8 +324,7 @@
         self, client: Client, port: int, vip: tuple[str, int], record: Record
     ) -> None:
         self.source, self.vip = (client.ip, port), vip
-        self.is_open = False
-        self.opened_at = 0.0
+        self.is_connected = self.is_open = False
         self.resets: list[tuple[float, int, int]] = []
         self._client, self._record = client, record
         self._sequence = zlib.crc32(repr(self.source).encode())
@@ -339,7 +341,10 @@
                 f" last ack {self._acknowledgement}, open {self.is_open}"
             )
             self.resets.append((time.monotonic(), packet.sequence, packet.total))
-            self._event.set()
+            distance = (packet.sequence - self._acknowledgement) % SPACE
+            is_near = min(distance, SPACE - distance) <= RESET_SPAN
+            if is_near or not self.is_connected:
+                self._event.set()
         elif packet.flags & SYN:
             if self._acknowledgement == 0:
                 self._acknowledgement = (packet.sequence + 1) % SPACE
@@ -364,6 +369,7 @@
             self._record.write(f"client {self.source}: SYN {copy} to {balancer}")
         if self.resets:
             return False
+        self.is_connected = True
         self._sequence = (self._sequence + 1) % SPACE
         return True
 
