--- a/review/flows_2.py
+++ b/review/flows_2.py
@@ -373,6 +373,12 @@
         self._sequence = (self._sequence + 1) % SPACE
         return True
 
+    def confirm(self) -> None:
+        """Send the end of the handshake without a request."""
+        self._client.send(
+            Packet(ACK, self.source, self.vip, self._sequence, self._acknowledgement)
+        )
+
     def ask(self, name: str, seconds: float) -> Result:
         """Send one request; return its result within ``seconds``."""
         data = f"POST /r HTTP/1.1\r\nX-Request-Id: {name}\r\n\r\n".encode()
