--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -239,7 +239,10 @@
         if self.role == "control":
             fields["DataDir"] = str(self.data_folder)
         lines = [f"{name} = {json.dumps(value)}" for name, value in fields.items()]
-        lines += ["[Zones]", *[f'{zone} = "limon"' for zone in ZONES]]
+        lines += [
+            "[Zones]",
+            *[f'{zone} = "limon"' for zone in dict.fromkeys((*ZONES, self.zone))],
+        ]
         lines += ["[ListenAddrs]"]
         lines += [f'{name} = "{self.ip}:{port}"' for name, port in listen.items()]
         lines += ["[FaultTolerance]", "Machines = 1", "Zones = 0", "Regions = 0"]
