--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,19 +15,20 @@
     CaseNotRunError,
     Fleet,
     Record,
-    is_troubled,
     make_configuration,
     run_case,
     wait_for,
 )
 from flows_2 import Client, Endpoint, Flow, Router  # noqa: E402
 
+# With TROUBLE=0 the case runs without the disruption.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 CORE = ("127.48.1.1", "127.48.1.2", "127.48.1.3")
 FRONTS = ("127.48.2.1", "127.48.2.2")
 SIDES = ("127.48.3.1", "127.48.3.2")
 CLIENT = "127.48.9.1"
 ZONES = ("moin-a", "moin-b", "limon-centro")
-SERVICE, VIP = "huvo11a", ("198.18.0.1", 8443)
+SERVICE, VIP = "huvo11a", ("127.48.8.1", 8443)
 ROUTES = [(SERVICE, *VIP, "non_idempotent")]
 FIRST_SEQUENCE = int(os.environ.get("FIRST_SEQ", "0"))
 GRACE_SECONDS = 6.0
@@ -72,7 +73,7 @@
     record.write(f"{len(held)} of {len(flows)} flows are open at {endpoint.name}")
     if not held or time.monotonic() > started_at + 0.5:
         raise CaseNotRunError("no flow was opened at the new endpoint in time")
-    if is_troubled():
+    if IS_TROUBLED:
         agents[0].send_signal(signal.SIGTERM)
         agents[0].wait_for_exit(GRACE_SECONDS)
         agents[0].start()
@@ -120,4 +121,4 @@
     return flows
 
 
-run_case(FOLDER, run)
+run_case(FOLDER / "record.txt", IS_TROUBLED, run)
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -52,12 +52,12 @@
 
 
 class Record:
-    """Write what was sent, answered and run to ``record.txt`` of a case."""
+    """Write what was sent, answered and run to the record of a case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._started_at = time.monotonic()
         self._lock = threading.Lock()
-        self._stream = (folder / "record.txt").open("w")
+        self._stream = path.open("w")
 
     def write(self, text: str) -> None:
         """Write one line with the seconds since the start."""
@@ -67,11 +67,6 @@
             self._stream.flush()
 
 
-def is_troubled() -> bool:
-    """Return whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def wait_for(check: Callable[[], Any], seconds: float, what: str) -> Any:
     """Return the first true result; raise CaseNotRunError after ``seconds``."""
     deadline = time.monotonic() + seconds
@@ -354,10 +349,10 @@
     }
 
 
-def run_case(folder: Path, case: Callable[[Record], int]) -> None:
+def run_case(path: Path, is_troubled: bool, case: Callable[[Record], int]) -> None:
     """Run a case and exit with its result."""
-    record = Record(folder)
-    record.write("with the disruption" if is_troubled() else "without the disruption")
+    record = Record(path)
+    record.write("with the disruption" if is_troubled else "without the disruption")
     try:
         result = case(record)
     except CaseNotRunError as error:
